--- /dev/null
+++ b/src/cli/main.cpp
@@ -0,0 +1,100 @@
+// laburnummast: the operators' command line.
+
+#include "cli/command.h"
+
+#include "core/text.h"
+
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <absl/strings/str_format.h>
+#include <algorithm>
+#include <array>
+#include <iostream>
+
+namespace Laburnummast::Cli
+{
+namespace
+{
+
+constexpr std::size_t anyCount = static_cast<std::size_t>(-1);
+
+constexpr std::array<Command, 9> commandTable{{
+    {"check", "NOTE", "checks a release note's form without a daemon", 1, checkNote},
+    {"plan", "DECLARATIONS", "writes the note that takes what is in force to the declarations (--daemon, --id, --author)", 1, planNote},
+    {"publish", "NOTE", "publishes a note and waits until it is in force on every live daemon (--daemon, --key_file, --wait_s)", 1, publishNote},
+    {"notes", "", "lists the notes and their verdicts (--daemon)", 0, listNotes},
+    {"services", "", "lists the services in force (--daemon)", 0, listServices},
+    {"status", "", "shows every daemon's state and configuration (--daemon)", 0, showStatus},
+    {"state", "HOST", "dumps one daemon's state as JSON (--daemon)", 1, showState},
+    {"drain", "HOST", "drains a daemon, which then ends (--daemon, --key_file)", 1, drainHost},
+    {"usage", "[live|report|verify]", "use by owner: as the daemons hold it (--daemon), by day or verified from the log (--log)", anyCount, reportUsage},
+}};
+
+std::string overview()
+{
+    std::string text = "laburnummast COMMAND [ARGUMENT] [flags]\n\ncommands:\n";
+    for (const auto &it : commandTable) {
+        Text::append(text, absl::StrFormat("  %-9s %-21s %s\n", it.name, it.arguments, it.brief));
+    }
+    Text::append(text,
+                    "\nflags: --daemon=IP:PORT --log=IP:PORT --key_file=FILE --format=text|json\n"
+                    "exit codes: 0 ok, 1 refused, 2 usage, 3 unreachable, 4 denied\n");
+    return text;
+}
+
+const Command *findCommand(std::string_view name)
+{
+    const auto same = [&](const Command &it) { return it.name == name; };
+    const auto *it = std::find_if(commandTable.begin(), commandTable.end(), same);
+    return it == commandTable.end() ? nullptr : it;
+}
+
+// The flag library's own help lists every flag of every file; operators get the page of their command.
+bool printHelp(std::span<char *const> words)
+{
+    const auto asksHelp = [](std::string_view it) { return it == "--help" || it == "-h" || it == "help"; };
+    if (std::none_of(words.begin() + 1, words.end(), asksHelp)) {
+        return false;
+    }
+    for (const std::string_view it : words.subspan(1)) {
+        if (const auto *command = findCommand(it)) {
+            std::cout << "laburnummast " << command->name << " " << command->arguments << "\n  " << command->brief << "\n";
+            return true;
+        }
+    }
+    std::cout << overview();
+    return true;
+}
+
+ExitCode run(const std::vector<char *> &words)
+{
+    const auto *command = words.size() > 1 ? findCommand(words[1]) : nullptr;
+    const std::vector<std::string> arguments(words.begin() + std::min<std::ptrdiff_t>(2, static_cast<std::ptrdiff_t>(words.size())), words.end());
+    if (command == nullptr) {
+        std::cerr << overview();
+        return ExitCode::Usage;
+    }
+    if (command->argumentCount != anyCount && command->argumentCount != arguments.size()) {
+        std::cerr << "laburnummast " << command->name << " " << command->arguments << "\n";
+        return ExitCode::Usage;
+    }
+    return command->run(arguments);
+}
+
+}
+
+std::span<const Command> commands()
+{
+    return commandTable;
+}
+
+}
+
+int main(int argc, char **argv)
+{
+    if (Laburnummast::Cli::printHelp({argv, static_cast<std::size_t>(argc)})) {
+        return 0;
+    }
+    absl::SetProgramUsageMessage("laburnummast COMMAND [ARGUMENT] [flags]");
+    return static_cast<int>(Laburnummast::Cli::run(absl::ParseCommandLine(argc, argv)));
+}
--- /dev/null
+++ b/src/cli/usagecommands.cpp
@@ -0,0 +1,176 @@
+// Commands about usage: report, verify.
+
+#include "cli/client.h"
+#include "core/usage/usagechain.h"
+#include "net/logclient.h"
+#include "core/text.h"
+
+#include <absl/strings/str_format.h>
+#include <iostream>
+
+namespace Laburnummast::Cli
+{
+namespace
+{
+
+constexpr int recordsPerRead = 1000;
+constexpr double microsPerSecond = 1e6;
+
+nlohmann::json toJson(const Usage::UsageKey &key, const Usage::UsageCounters &it)
+{
+    return {{"owner", key.owner},
+            {"partner", key.partner},
+            {"service", key.service},
+            {"calls", it.calls},
+            {"refused", it.refused},
+            {"slot_seconds", static_cast<double>(it.slotMicros) / microsPerSecond},
+            {"bytes_in", it.bytesIn},
+            {"bytes_out", it.bytesOut}};
+}
+
+void printTable(const Usage::UsageTable &table)
+{
+    std::cout << absl::StrFormat("%-14s %-24s %-16s %10s %10s %12s %14s %14s\n", "owner", "partner", "service", "calls", "refused", "slot s", "bytes in", "bytes out");
+    for (const auto &[key, it] : table) {
+        std::cout << absl::StrFormat("%-14s %-24s %-16s %10d %10d %12.2f %14d %14d\n",
+                                     key.owner,
+                                     key.partner,
+                                     key.service,
+                                     it.calls,
+                                     it.refused,
+                                     static_cast<double>(it.slotMicros) / microsPerSecond,
+                                     it.bytesIn,
+                                     it.bytesOut);
+    }
+}
+
+// Reads the whole usage stream into an audit.
+std::optional<Usage::UsageAudit> auditLog()
+{
+    const auto address = logAddress();
+    if (!address) {
+        return std::nullopt;
+    }
+    const Net::LogClient log(*address);
+    Usage::UsageAudit audit;
+    Net::Offset from = 0;
+    while (true) {
+        const auto page = log.read(Net::usageStream, from, recordsPerRead, {});
+        const auto *records = std::get_if<Net::LogPage>(&page);
+        if (records == nullptr) {
+            complain(Text::concat("the log cannot be read: ", nameOf(std::get<Net::LogError>(page))));
+            return std::nullopt;
+        }
+        for (const auto &it : records->records) {
+            audit.take(it.offset, it.data);
+            from = it.offset + 1;
+        }
+        if (records->records.empty()) {
+            return audit;
+        }
+    }
+}
+
+// Sums the copies that the live daemons hold; the largest count of each source stands.
+std::optional<Usage::UsageTable> liveUsage()
+{
+    const auto daemons = fetchDaemons();
+    if (!daemons) {
+        return std::nullopt;
+    }
+    std::map<Usage::UsageSource, Usage::UsageTable> sources;
+    for (const auto &daemon : *daemons) {
+        const auto answer = get(daemon.admin, "/v1/usage");
+        if (!answer || !answer->json.contains("usage")) {
+            continue;
+        }
+        for (const auto &it : answer->json["usage"]) {
+            const Usage::UsageSource source{.host = it.value("host", ""), .incarnation = it.value("incarnation", std::uint64_t{0})};
+            const Usage::UsageKey key{.owner = it.value("owner", ""), .partner = it.value("partner", ""), .service = it.value("service", "")};
+            sources[source][key].mergeMaximum({.calls = it.value("calls", std::uint64_t{0}),
+                                               .refused = it.value("refused", std::uint64_t{0}),
+                                               .slotMicros = it.value("slot_micros", std::uint64_t{0}),
+                                               .bytesIn = it.value("bytes_in", std::uint64_t{0}),
+                                               .bytesOut = it.value("bytes_out", std::uint64_t{0})});
+        }
+    }
+    Usage::UsageTable sum;
+    for (const auto &[source, table] : sources) {
+        for (const auto &[key, counters] : table) {
+            sum[key] += counters;
+        }
+    }
+    return sum;
+}
+
+ExitCode printUsage(const std::optional<Usage::UsageTable> &table)
+{
+    if (!table) {
+        return ExitCode::Unreachable;
+    }
+    if (wantsJson()) {
+        nlohmann::json list = nlohmann::json::array();
+        for (const auto &[key, it] : *table) {
+            list.push_back(toJson(key, it));
+        }
+        std::cout << list.dump(2) << "\n";
+    } else {
+        printTable(*table);
+    }
+    return ExitCode::Ok;
+}
+
+ExitCode printByDay(const Usage::UsageAudit &audit)
+{
+    nlohmann::json list = nlohmann::json::array();
+    for (const auto &[day, table] : audit.byDay()) {
+        if (!wantsJson()) {
+            std::cout << "day " << day << " since 1970\n";
+            printTable(table);
+        }
+        for (const auto &[key, it] : table) {
+            auto row = toJson(key, it);
+            row["day"] = day;
+            list.push_back(row);
+        }
+    }
+    if (wantsJson()) {
+        std::cout << list.dump(2) << "\n";
+    }
+    return ExitCode::Ok;
+}
+
+ExitCode verify(const Usage::UsageAudit &audit)
+{
+    for (const auto &it : audit.faults()) {
+        std::cerr << absl::StrFormat("offset %d: %s in the chain of %s/%d at %d\n", it.offset, nameOf(it.kind), it.writer.host, it.writer.incarnation, it.sequence);
+    }
+    if (wantsJson()) {
+        std::cout << nlohmann::json{{"records", audit.records()}, {"repeats", audit.repeats()}, {"faults", audit.faults().size()}}.dump() << "\n";
+    } else {
+        printTable(audit.total());
+        std::cout << absl::StrFormat("%d records, %d repeats, %d faults\n", audit.records(), audit.repeats(), audit.faults().size());
+    }
+    return audit.faults().empty() ? ExitCode::Ok : ExitCode::Refused;
+}
+
+}
+
+ExitCode reportUsage(Arguments arguments)
+{
+    const auto what = arguments.empty() ? std::string("live") : arguments[0];
+    if (what == "live") {
+        return printUsage(liveUsage());
+    }
+    if (what != "report" && what != "verify") {
+        complain("usage [live|report|verify]");
+        return ExitCode::Usage;
+    }
+    const auto audit = auditLog();
+    if (!audit) {
+        return ExitCode::Unreachable;
+    }
+    return what == "report" ? printByDay(*audit) : verify(*audit);
+}
+
+}
--- /dev/null
+++ b/src/core/admission/floorcredits.cpp
@@ -0,0 +1,35 @@
+#include "core/admission/floorcredits.h"
+
+#include <algorithm>
+
+namespace Laburnummast::Admission
+{
+namespace
+{
+
+constexpr double maxCredit = 4;
+
+}
+
+FloorCredits::FloorCredits(const Floors &floors)
+    : m_floors(floors)
+{
+}
+
+void FloorCredits::dispatched(Priority priority, const std::array<bool, priorityCount> &waiting)
+{
+    for (std::size_t i = 0; i < priorityCount; ++i) {
+        if (waiting[i]) {
+            m_credits[i] = std::min(maxCredit, m_credits[i] + m_floors[i]);
+        }
+    }
+    auto &own = m_credits[indexOf(priority)];
+    own = std::max(0.0, own - 1);
+}
+
+bool FloorCredits::entitled(Priority priority) const
+{
+    return m_credits[indexOf(priority)] >= 1;
+}
+
+}
--- /dev/null
+++ b/src/core/config/address.h
@@ -0,0 +1,20 @@
+#ifndef LABURNUMMAST_CORE_CONFIG_ADDRESS_H
+#define LABURNUMMAST_CORE_CONFIG_ADDRESS_H
+
+#include "core/membership/member.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace Laburnummast::Config
+{
+
+/// Parses `IP:PORT`.
+std::optional<Membership::Address> parseAddress(std::string_view text);
+
+std::string toString(const Membership::Address &address);
+
+}
+
+#endif
--- /dev/null
+++ b/src/core/config/sectionreader.h
@@ -0,0 +1,59 @@
+#ifndef LABURNUMMAST_CORE_CONFIG_SECTIONREADER_H
+#define LABURNUMMAST_CORE_CONFIG_SECTIONREADER_H
+
+#include "core/config/inidocument.h"
+#include "core/millis.h"
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Laburnummast::Config
+{
+
+/// Whether a key must be given.
+enum class Presence : std::uint8_t {
+    Required,
+    Optional,
+};
+
+/// Allowed range of a whole number.
+struct Range
+{
+    std::int64_t lowest = 0;
+    std::int64_t highest = 0;
+};
+
+/// Reads the keys of one section into typed fields and notes every mistake.
+///
+/// Each `field` keeps the field's value as default where the key is optional and absent.
+class SectionReader
+{
+public:
+    SectionReader(const IniSection &section, std::string_view source, SettingErrors &errors);
+
+    void field(std::string_view key, std::string &value, Presence presence);
+    void field(std::string_view key, std::vector<std::string> &value, Presence presence);
+    void field(std::string_view key, std::int64_t &value, Range range, Presence presence);
+    void field(std::string_view key, Millis &value, Range range, Presence presence);
+    void field(std::string_view key, bool &value, Presence presence);
+    /// Reads one of `names`; the index of the name is the value.
+    void choice(std::string_view key, std::uint8_t &value, std::span<const std::string_view> names, Presence presence);
+    /// Notes every key that no field asked for.
+    void finish();
+
+private:
+    const IniEntry *take(std::string_view key, Presence presence);
+    void fail(const IniEntry &entry, SettingErrorKind kind, std::string allowed);
+
+    const IniSection &m_section;
+    std::string_view m_source;
+    SettingErrors &m_errors;
+    std::vector<std::string_view> m_known;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/src/core/retry/tokenbucket.h
@@ -0,0 +1,48 @@
+#ifndef LABURNUMMAST_CORE_RETRY_TOKENBUCKET_H
+#define LABURNUMMAST_CORE_RETRY_TOKENBUCKET_H
+
+#include "core/millis.h"
+
+#include <algorithm>
+
+namespace Laburnummast::Retry
+{
+
+/// Bounds a rate; saves up at most `burst`.
+class TokenBucket
+{
+public:
+    TokenBucket(double perSecond, double burst)
+        : m_perSecond(perSecond)
+        , m_burst(burst)
+        , m_tokens(burst)
+    {
+    }
+
+    bool take(double amount, Millis now)
+    {
+        refill(now);
+        if (m_tokens < amount) {
+            return false;
+        }
+        m_tokens -= amount;
+        return true;
+    }
+
+private:
+    void refill(Millis now)
+    {
+        const Millis since = now - m_at;
+        m_at = now;
+        m_tokens = std::min(m_burst, m_tokens + m_perSecond * std::max(0.0, since / 1_s));
+    }
+
+    double m_perSecond;
+    double m_burst;
+    double m_tokens;
+    Millis m_at{};
+};
+
+}
+
+#endif
--- /dev/null
+++ b/src/core/routing/latencyhistogram.cpp
@@ -0,0 +1,55 @@
+#include "core/routing/latencyhistogram.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Laburnummast::Routing
+{
+namespace
+{
+
+constexpr double lowestEdge = 0.05;
+constexpr double bucketRatio = 1.2;
+constexpr std::uint32_t fadeAt = 4000;
+
+Millis upperEdge(std::size_t bucket)
+{
+    return {lowestEdge * std::pow(bucketRatio, static_cast<double>(bucket))};
+}
+
+}
+
+void LatencyHistogram::add(Millis latency)
+{
+    const double position = std::ceil(std::log(std::max(latency.count, lowestEdge) / lowestEdge) / std::log(bucketRatio));
+    const auto bucket = std::min(static_cast<std::size_t>(position), bucketCount - 1);
+    ++m_buckets[bucket];
+    ++m_total;
+    if (m_total >= fadeAt) {
+        fade();
+    }
+}
+
+Millis LatencyHistogram::quantile(double q) const
+{
+    const double wanted = q * m_total;
+    double seen = 0;
+    for (std::size_t i = 0; i < bucketCount; ++i) {
+        seen += m_buckets[i];
+        if (m_total > 0 && seen >= wanted) {
+            return upperEdge(i);
+        }
+    }
+    return {};
+}
+
+void LatencyHistogram::fade()
+{
+    m_total = 0;
+    for (auto &it : m_buckets) {
+        it /= 2;
+        m_total += it;
+    }
+}
+
+}
--- /dev/null
+++ b/src/core/routing/rendezvous.cpp
@@ -0,0 +1,97 @@
+#include "core/routing/rendezvous.h"
+
+#include <algorithm>
+#include <numeric>
+#include <set>
+#include <xxhash.h>
+
+namespace Laburnummast::Routing
+{
+namespace
+{
+
+std::uint64_t hashOf(std::string_view text)
+{
+    return XXH3_64bits(text.data(), text.size());
+}
+
+std::vector<std::size_t> byScore(std::string_view key, std::span<const Candidate> candidates)
+{
+    std::vector<std::size_t> order(candidates.size());
+    std::iota(order.begin(), order.end(), 0);
+    std::vector<std::uint64_t> scores;
+    scores.reserve(candidates.size());
+    for (const auto &it : candidates) {
+        scores.push_back(rendezvousScore(key, it.name));
+    }
+    std::sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) {
+        return scores[a] != scores[b] ? scores[a] > scores[b] : candidates[a].name < candidates[b].name;
+    });
+    return order;
+}
+
+std::size_t bestWithRoom(std::string_view item, std::span<const std::string> members, std::span<const std::size_t> room)
+{
+    std::size_t best = members.size();
+    std::uint64_t bestScore = 0;
+    for (std::size_t i = 0; i < members.size(); ++i) {
+        const auto score = rendezvousScore(item, members[i]);
+        if (room[i] > 0 && (best == members.size() || score > bestScore)) {
+            best = i;
+            bestScore = score;
+        }
+    }
+    return best;
+}
+
+}
+
+std::uint64_t rendezvousScore(std::string_view key, std::string_view member)
+{
+    return XXH3_64bits_withSeed(member.data(), member.size(), hashOf(key));
+}
+
+std::vector<std::size_t> rendezvousSet(std::string_view key, std::span<const Candidate> candidates, std::size_t count)
+{
+    auto rest = byScore(key, candidates);
+    std::vector<std::size_t> chosen;
+    // Each round takes at most one member of every domain, so that a lost domain takes as few as can be.
+    while (chosen.size() < count && !rest.empty()) {
+        std::set<std::string_view> domains;
+        std::vector<std::size_t> left;
+        for (const auto it : rest) {
+            if (chosen.size() < count && domains.insert(candidates[it].domain).second) {
+                chosen.push_back(it);
+            } else {
+                left.push_back(it);
+            }
+        }
+        rest = std::move(left);
+    }
+    return chosen;
+}
+
+std::vector<std::size_t> balancedParts(std::span<const std::string> items, std::span<const std::string> members)
+{
+    std::vector<std::size_t> parts(items.size(), 0);
+    if (members.empty()) {
+        return parts;
+    }
+    std::vector<std::size_t> order(items.size());
+    std::iota(order.begin(), order.end(), 0);
+    std::sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) {
+        const auto left = hashOf(items[a]);
+        const auto right = hashOf(items[b]);
+        return left != right ? left < right : items[a] < items[b];
+    });
+    const std::size_t share = (items.size() + members.size() - 1) / members.size();
+    std::vector<std::size_t> room(members.size(), share);
+    for (const auto it : order) {
+        const auto member = bestWithRoom(items[it], members, room);
+        parts[it] = member;
+        --room[member];
+    }
+    return parts;
+}
+
+}
--- /dev/null
+++ b/src/core/routing/upstreamload.h
@@ -0,0 +1,144 @@
+#ifndef LABURNUMMAST_CORE_ROUTING_UPSTREAMLOAD_H
+#define LABURNUMMAST_CORE_ROUTING_UPSTREAMLOAD_H
+
+#include "core/millis.h"
+#include "core/priority.h"
+
+#include <array>
+#include <cstdint>
+#include <optional>
+
+namespace Laburnummast::Routing
+{
+
+/// What an upstream said of itself with an answer.
+struct LoadReport
+{
+    double inFlight = 0;
+    bool draining = false;
+};
+
+/// How an attempt at an upstream ended.
+enum class AttemptOutcome : std::uint8_t {
+    Answered,
+    /// An answer that says the work failed.
+    Failed,
+    /// The upstream refused it as not run.
+    Shed,
+    /// Nothing was written: there was no connection.
+    NotSent,
+    /// Written, but the answer did not come whole.
+    Broken,
+    TimedOut,
+    Cancelled,
+};
+
+/// One attempt in flight, as the upstream's load remembers it.
+struct AttemptStart
+{
+    Millis sentAt;
+    Priority priority = Priority::Normal;
+    /// In flight by this dispatcher when the attempt left, itself included.
+    int ownInFlight = 0;
+    double expectedWaitFactor = 1;
+};
+
+/// The load and health of one upstream as one dispatcher sees it.
+class UpstreamLoad
+{
+public:
+    UpstreamLoad(int slots, Millis now, bool cold);
+
+    AttemptStart start(Priority priority, Millis now);
+    void end(const AttemptStart &attempt, AttemptOutcome outcome, const std::optional<LoadReport> &report, Millis typicalLatency, Millis now);
+    void probed(bool healthy, const LoadReport &report, Millis now);
+
+    int inFlight() const
+    {
+        return m_inFlight;
+    }
+    int inFlight(Priority priority) const
+    {
+        return m_inFlightBy[indexOf(priority)];
+    }
+    int slots() const
+    {
+        return m_slots;
+    }
+    void setSlots(int slots)
+    {
+        m_slots = slots;
+    }
+    /// Most calls this dispatcher keeps in flight here.
+    double limit() const
+    {
+        return m_limit;
+    }
+    /// Estimated calls in flight from everybody else.
+    double othersInFlight(Millis now) const;
+    /// How much slower than its peers; 1 within the noise.
+    double slowness(Millis now, Millis typicalLatency) const;
+    /// 0 to 1 while a new upstream warms up.
+    double warmth(Millis now) const;
+    double failureRate() const
+    {
+        return m_failureRate;
+    }
+    Millis lastHeard() const
+    {
+        return m_lastHeard;
+    }
+
+    bool draining() const
+    {
+        return m_draining;
+    }
+    void setDraining(bool draining)
+    {
+        m_draining = draining;
+    }
+    bool ejected(Millis now) const
+    {
+        return now < m_ejectedUntil;
+    }
+    /// Whether the ejection is over but no answer has proved the upstream well since.
+    bool onTrial(Millis now) const
+    {
+        return !ejected(now) && m_ejections > 0;
+    }
+    /// Whether failures are bad enough for an ejection.
+    bool isOutlier() const;
+    void eject(Millis now);
+
+    /// Relative cost of sending one more call here.
+    double cost(Millis now, Millis typicalLatency) const;
+
+private:
+    void noteReport(const LoadReport &report, Millis now);
+    void noteLatency(const AttemptStart &attempt, Millis typicalLatency, Millis now);
+    void noteHealth(bool healthy);
+    void adaptLimit(AttemptOutcome outcome, const std::optional<LoadReport> &report);
+
+    int m_slots;
+    int m_inFlight = 0;
+    std::array<int, priorityCount> m_inFlightBy{};
+    double m_limit;
+    double m_sentAtSum = 0;
+    double m_logRatio = 0;
+    Millis m_ratioAt{};
+    double m_reportedOthers = 0;
+    double m_meanOthers = 0;
+    Millis m_reportAt{};
+    double m_failureRate = 0;
+    int m_failuresInRow = 0;
+    int m_ejections = 0;
+    Millis m_ejectedUntil{-1};
+    Millis m_lastHeard{};
+    Millis m_coldSince{};
+    bool m_cold;
+    bool m_draining = false;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/src/core/usage/usagechain.cpp
@@ -0,0 +1,147 @@
+#include "core/usage/usagechain.h"
+
+#include "core/keyedhash.h"
+
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/map.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+#include <sstream>
+
+namespace Laburnummast::Usage
+{
+namespace
+{
+
+constexpr std::uint8_t recordFormat = 1;
+constexpr Millis day = 86400_s;
+
+UsageCounters growth(const UsageCounters &from, const UsageCounters &to)
+{
+    return {.calls = to.calls - from.calls,
+            .refused = to.refused - from.refused,
+            .slotMicros = to.slotMicros - from.slotMicros,
+            .bytesIn = to.bytesIn - from.bytesIn,
+            .bytesOut = to.bytesOut - from.bytesOut,
+            .probes = to.probes - from.probes};
+}
+
+}
+
+std::string encode(const UsageRecord &record)
+{
+    std::ostringstream stream;
+    cereal::PortableBinaryOutputArchive archive(stream);
+    archive(recordFormat, record);
+    return stream.str();
+}
+
+Result<UsageRecord, UsageRecordError> decodeUsageRecord(std::string_view bytes)
+{
+    try {
+        std::istringstream stream{std::string(bytes)};
+        cereal::PortableBinaryInputArchive archive(stream);
+        std::uint8_t format = 0;
+        archive(format);
+        if (format > recordFormat) {
+            return UsageRecordError::FutureFormat;
+        }
+        UsageRecord record;
+        archive(record);
+        return record;
+    } catch (const std::exception &) {
+        return UsageRecordError::Malformed;
+    }
+}
+
+std::string_view nameOf(ChainFaultKind kind)
+{
+    switch (kind) {
+    case ChainFaultKind::Gap:
+        return "gap";
+    case ChainFaultKind::Break:
+        return "break";
+    case ChainFaultKind::Shrunk:
+        return "shrunk";
+    case ChainFaultKind::Unreadable:
+        return "unreadable";
+    }
+    return "unknown";
+}
+
+UsageChain::UsageChain(UsageSource writer)
+    : m_writer(std::move(writer))
+{
+}
+
+std::string UsageChain::next(std::vector<UsageEntry> entries, Millis at)
+{
+    auto bytes = encode(
+        UsageRecord{.writer = m_writer, .sequence = m_sequence++, .previous = m_previous, .at = at, .entries = std::move(entries)});
+    m_previous = sha256Hex(bytes);
+    return bytes;
+}
+
+void UsageAudit::take(std::int64_t offset, std::string_view bytes)
+{
+    ++m_records;
+    const auto decoded = decodeUsageRecord(bytes);
+    if (std::holds_alternative<UsageRecordError>(decoded)) {
+        m_faults.push_back({.kind = ChainFaultKind::Unreadable, .offset = offset, .writer = {}});
+        return;
+    }
+    const auto &record = std::get<UsageRecord>(decoded);
+    checkChain(offset, record, sha256Hex(bytes));
+    for (const auto &it : record.entries) {
+        book(offset, record, it);
+    }
+}
+
+// An append whose answer was lost is sent again with the same bytes: the copy is a repeat, not a fault.
+void UsageAudit::checkChain(std::int64_t offset, const UsageRecord &record, const std::string &hash)
+{
+    auto &chain = m_chains[record.writer];
+    if (chain.next > 0 && hash == chain.lastHash) {
+        ++m_repeats;
+        return;
+    }
+    const auto fault = [&](ChainFaultKind kind) {
+        m_faults.push_back({.kind = kind, .offset = offset, .writer = record.writer, .sequence = record.sequence});
+    };
+    if (record.sequence > chain.next) {
+        fault(ChainFaultKind::Gap);
+    } else if (record.sequence < chain.next || record.previous != chain.lastHash) {
+        fault(ChainFaultKind::Break);
+    }
+    chain.next = record.sequence + 1;
+    chain.lastHash = hash;
+}
+
+void UsageAudit::book(std::int64_t offset, const UsageRecord &record, const UsageEntry &entry)
+{
+    auto &table = m_sources[entry.source];
+    const auto date = static_cast<std::int64_t>(record.at / day);
+    for (const auto &[key, counters] : entry.table) {
+        auto &known = table[key];
+        const auto before = known;
+        known.mergeMaximum(counters);
+        // Only a source's own record must not shrink: a copy held by another may be older.
+        if (entry.source == record.writer && counters.calls < before.calls) {
+            m_faults.push_back({.kind = ChainFaultKind::Shrunk, .offset = offset, .writer = record.writer, .sequence = record.sequence});
+        }
+        m_byDay[date][key] += growth(before, known);
+    }
+}
+
+UsageTable UsageAudit::total() const
+{
+    UsageTable sum;
+    for (const auto &[source, table] : m_sources) {
+        for (const auto &[key, counters] : table) {
+            sum[key] += counters;
+        }
+    }
+    return sum;
+}
+
+}
--- /dev/null
+++ b/src/daemon/adminhandler.h
@@ -0,0 +1,58 @@
+#ifndef LABURNUMMAST_DAEMON_ADMINHANDLER_H
+#define LABURNUMMAST_DAEMON_ADMINHANDLER_H
+
+#include "daemon/callhandler.h"
+#include "daemon/control.h"
+#include "daemon/metrics.h"
+#include "daemon/traffic.h"
+#include "net/httpserver.h"
+
+#include <atomic>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace Laburnummast::Daemon
+{
+
+/// Serves operators on the admin address: metrics, state, notes, drain.
+class AdminHandler
+{
+public:
+    AdminHandler(std::string operatorKey, CallHandler &calls, Traffic &traffic, Control &control, const KeyGuard &keys);
+
+    void handle(Net::ServerRequest &request);
+    /// Whether an operator asked for a drain.
+    bool drainRequested() const
+    {
+        return m_drainRequested;
+    }
+    void setOperatorKey(std::string key);
+    void setDraining()
+    {
+        m_draining = true;
+    }
+
+private:
+    bool mayOperate(Net::ServerRequest &request);
+    void handlePost(Net::ServerRequest &request);
+    void publish(Net::ServerRequest &request);
+    std::string state() const;
+    std::string status() const;
+    std::string notes() const;
+    std::string usage() const;
+
+    mutable std::mutex m_keyMutex;
+    std::string m_operatorKey;
+    CallHandler &m_calls;
+    Traffic &m_traffic;
+    Control &m_control;
+    Metrics m_metrics;
+    std::atomic<bool> m_drainRequested = false;
+    std::atomic<bool> m_draining = false;
+    std::atomic<std::uint64_t> m_deniedActions = 0;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/src/daemon/attempt.cpp
@@ -0,0 +1,258 @@
+#include "daemon/attempt.h"
+
+#include "process/wallclock.h"
+#include "core/text.h"
+
+#include <algorithm>
+#include <array>
+
+namespace Laburnummast::Daemon
+{
+namespace
+{
+
+using Dispatch::AttemptOutcome;
+
+constexpr std::size_t pieceBytes = 64 << 10;
+constexpr int statusServiceUnavailable = 503;
+constexpr int statusServerError = 500;
+// An idle connection may have been closed or gone silent meanwhile; what must not run twice takes a recent one or a new one.
+constexpr Millis recentUse = 1_s;
+constexpr Millis anyUse = 3600_s;
+constexpr Millis probeTimeout = 500_ms;
+constexpr Millis cancelTimeout = 200_ms;
+constexpr std::size_t maxProbeBytes = 4096;
+
+std::optional<Dispatch::LoadReport> reportOf(const Net::ResponseHead &head)
+{
+    const auto load = head.header("X-Load");
+    if (!load) {
+        return std::nullopt;
+    }
+    Dispatch::LoadReport report;
+    for (const auto it : Text::split(*load, ';')) {
+        const std::pair<std::string_view, std::string_view> field = Text::splitOnce(Text::trim(it), '=');
+        if (field.first == "in_flight") {
+            report.inFlight = std::max(0.0, Text::parseNumber(field.second).value_or(0));
+        } else if (field.first == "draining") {
+            report.draining = field.second == "1";
+        }
+    }
+    return report;
+}
+
+AttemptOutcome outcomeOf(Net::HttpError error)
+{
+    switch (error) {
+    case Net::HttpError::CannotConnect:
+        return AttemptOutcome::NotSent;
+    case Net::HttpError::TimedOut:
+        return AttemptOutcome::TimedOut;
+    case Net::HttpError::WriteFailed:
+    case Net::HttpError::BrokenOff:
+    case Net::HttpError::Malformed:
+        break;
+    }
+    return AttemptOutcome::Broken;
+}
+
+AttemptOutcome outcomeOf(const Net::ResponseHead &head)
+{
+    if (head.status == statusServiceUnavailable && head.header("X-Not-Run")) {
+        return AttemptOutcome::Shed;
+    }
+    return head.status >= statusServerError ? AttemptOutcome::Failed : AttemptOutcome::Answered;
+}
+
+Net::ClientRequest requestOf(const CallContext &call, std::string_view id, Millis left)
+{
+    Net::ClientRequest request{.method = call.method, .target = call.target, .headers = call.headers, .body = call.body};
+    request.headers.push_back({.name = "X-Request-Id", .value = std::string(id)});
+    request.headers.push_back({.name = "X-Deadline-Ms", .value = Text::concat(static_cast<std::int64_t>(left.count))});
+    request.headers.push_back({.name = "X-Priority", .value = std::string(nameOf(call.request.priority))});
+    if (call.stream != nullptr) {
+        request.streamedLength = call.streamLength.value_or(-1);
+    }
+    return request;
+}
+
+// Passes the rest of the caller's body on; the upstream's connection is of no use after a failure.
+std::optional<AttemptOutcome> streamBody(CallContext &call, Net::HttpConnection &connection)
+{
+    const bool chunked = !call.streamLength;
+    std::int64_t total = static_cast<std::int64_t>(call.body.size());
+    std::array<char, pieceBytes> buf;
+    while (true) {
+        const auto n = call.stream->read(buf);
+        if (n < 0) {
+            call.bodyFailure = Net::BodyError::BrokenOff;
+            return AttemptOutcome::Cancelled;
+        }
+        if (n == 0) {
+            break;
+        }
+        total += n;
+        if (total > call.maxBodyBytes) {
+            call.bodyFailure = Net::BodyError::TooLarge;
+            return AttemptOutcome::Cancelled;
+        }
+        if (!connection.sendPiece({buf.data(), static_cast<std::size_t>(n)}, chunked)) {
+            return AttemptOutcome::Broken;
+        }
+    }
+    call.bytesIn = static_cast<std::uint64_t>(total);
+    const bool ended = !chunked || connection.sendLastPiece();
+    return ended ? std::nullopt : std::optional(AttemptOutcome::Broken);
+}
+
+// Reads up to the buffered size; true if that was the whole body.
+Result<bool, Net::HttpError> readBuffered(Net::HttpConnection &connection, UpstreamAnswer &answer, std::size_t limit)
+{
+    const auto length = answer.head.contentLength;
+    if (length && *length > static_cast<std::int64_t>(limit)) {
+        return false;
+    }
+    std::array<char, pieceBytes> buf;
+    while (true) {
+        const auto n = connection.read(buf);
+        if (n < 0) {
+            return Net::HttpError::BrokenOff;
+        }
+        if (n == 0) {
+            return true;
+        }
+        answer.body.append(buf.data(), static_cast<std::size_t>(n));
+        if (!length && answer.body.size() > limit) {
+            return false;
+        }
+    }
+}
+
+// One attempt over one leased connection.
+class Exchange
+{
+public:
+    Exchange(CallContext &call, std::string id, const std::shared_ptr<UpstreamPort> &port, Net::HttpConnection connection)
+        : m_call(call)
+        , m_id(std::move(id))
+        , m_port(port)
+        , m_connection(std::move(connection))
+    {
+    }
+
+    AttemptEnd run()
+    {
+        const auto left = m_call.request.deadline - Process::steadyNow();
+        auto request = requestOf(m_call, m_id, left);
+        const bool streams = m_call.stream != nullptr;
+        const auto prefix = streams ? std::exchange(request.body, {}) : std::string_view();
+        if (m_connection.sendRequest(request)) {
+            return failed(AttemptOutcome::Broken);
+        }
+        if (streams) {
+            if (!m_connection.sendPiece(prefix, !m_call.streamLength)) {
+                return failed(AttemptOutcome::Broken);
+            }
+            if (const auto failure = streamBody(m_call, m_connection)) {
+                return failed(*failure);
+            }
+        }
+        return readAnswer();
+    }
+
+private:
+    AttemptEnd readAnswer()
+    {
+        auto head = m_connection.readHead(m_call.request.deadline - Process::steadyNow());
+        if (const auto *failure = std::get_if<Net::HttpError>(&head)) {
+            if (*failure == Net::HttpError::TimedOut) {
+                m_port->pool.retireNoYounger(m_connection.openedAt());
+            }
+            return failed(outcomeOf(*failure));
+        }
+        auto answer = std::make_shared<UpstreamAnswer>();
+        answer->head = std::move(std::get<Net::ResponseHead>(head));
+        const auto echoed = answer->head.header("X-Request-Id");
+        if (!echoed || *echoed != m_id) {
+            // A crossed or late answer: neither it nor its connection can be trusted.
+            return failed(AttemptOutcome::Broken);
+        }
+        const auto whole = readBuffered(m_connection, *answer, m_call.bufferedBytes);
+        if (std::holds_alternative<Net::HttpError>(whole)) {
+            return failed(AttemptOutcome::Broken);
+        }
+        const Dispatch::AttemptResult result{.outcome = outcomeOf(answer->head),
+                                             .report = reportOf(answer->head),
+                                             .doNotRetry = answer->head.header("X-Do-Not-Retry").has_value()};
+        if (std::get<bool>(whole)) {
+            m_port->pool.giveBack(std::move(m_connection));
+        } else {
+            answer->live = std::make_unique<LiveBody>(m_port, std::move(m_connection));
+        }
+        return {.result = result, .answer = std::move(answer)};
+    }
+
+    AttemptEnd failed(AttemptOutcome outcome)
+    {
+        m_port->pool.discard();
+        return {.result = {.outcome = outcome}, .answer = nullptr};
+    }
+
+    CallContext &m_call;
+    std::string m_id;
+    const std::shared_ptr<UpstreamPort> &m_port;
+    Net::HttpConnection m_connection;
+};
+
+}
+
+std::string attemptId(const CallContext &call, Dispatch::AttemptNumber attempt)
+{
+    return Text::concat(call.requestId, ".", attempt);
+}
+
+AttemptEnd performAttempt(CallContext &call, Dispatch::AttemptNumber attempt, const std::shared_ptr<UpstreamPort> &port)
+{
+    auto lease = port->pool.take(call.request.idempotent ? anyUse : recentUse);
+    if (std::holds_alternative<Net::LeaseError>(lease)) {
+        return {.result = {.outcome = AttemptOutcome::NotSent}, .answer = nullptr};
+    }
+    return Exchange(call, attemptId(call, attempt), port, std::move(std::get<Net::ConnectionPool::Lease>(lease).connection)).run();
+}
+
+ProbeEnd performProbe(UpstreamPort &port)
+{
+    auto lease = port.pool.take(anyUse);
+    if (std::holds_alternative<Net::LeaseError>(lease)) {
+        return {};
+    }
+    auto &connection = std::get<Net::ConnectionPool::Lease>(lease).connection;
+    const auto answer = connection.exchange({.method = "GET", .target = "/_load"}, probeTimeout, maxProbeBytes);
+    const auto *response = std::get_if<Net::ClientResponse>(&answer);
+    if (response == nullptr) {
+        port.pool.retireNoYounger(connection.openedAt());
+        port.pool.discard();
+        return {};
+    }
+    const auto report = reportOf(response->head);
+    port.pool.giveBack(std::move(connection));
+    return {.healthy = response->head.status < statusServerError && report, .report = report.value_or(Dispatch::LoadReport{})};
+}
+
+void cancelAttempt(UpstreamPort &port, std::string_view id)
+{
+    auto lease = port.pool.take(anyUse);
+    if (std::holds_alternative<Net::LeaseError>(lease)) {
+        return;
+    }
+    auto &connection = std::get<Net::ConnectionPool::Lease>(lease).connection;
+    const Net::ClientRequest request{.method = "DELETE", .target = Text::concat("/_calls/", id)};
+    const auto answer = connection.exchange(request, cancelTimeout, maxProbeBytes);
+    if (std::holds_alternative<Net::HttpError>(answer)) {
+        port.pool.discard();
+    } else {
+        port.pool.giveBack(std::move(connection));
+    }
+}
+
+}
--- /dev/null
+++ b/src/daemon/callhandler.cpp
@@ -0,0 +1,481 @@
+#include "daemon/callhandler.h"
+
+#include "core/config/address.h"
+#include "process/wallclock.h"
+#include "core/text.h"
+
+#include <algorithm>
+#include <cmath>
+#include <nlohmann/json.hpp>
+
+namespace Laburnummast::Daemon
+{
+namespace
+{
+
+using Dispatch::Disposition;
+
+constexpr std::string_view entriesPath = "/v1/entries";
+constexpr std::string_view callPrefix = "/v1/call/";
+constexpr std::size_t pieceBytes = 64 << 10;
+constexpr std::size_t maxIdLength = 128;
+constexpr std::size_t maxKeyLength = 256;
+
+struct FailureShape
+{
+    std::string_view name;
+    int status;
+    std::string_view outcome;
+};
+
+constexpr std::array<FailureShape, callFailureCount> failureShapes{{
+    {"bad-request", 400, "not-run"},
+    {"unknown-path", 404, "not-run"},
+    {"wrong-credential", 401, "not-run"},
+    {"not-allowed", 403, "not-run"},
+    {"unknown-service", 404, "not-run"},
+    {"unknown-route", 404, "not-run"},
+    {"too-large", 413, "not-run"},
+    {"not-run", 503, "not-run"},
+    {"superseded", 409, "not-run"},
+    {"unknown", 504, "unknown"},
+    {"no-configuration", 503, "not-run"},
+}};
+
+const FailureShape &shapeOf(CallFailure failure)
+{
+    return failureShapes[static_cast<std::size_t>(failure)];
+}
+
+// What concerns one connection only, what this daemon proves or sets itself, and what the credential must not leave by.
+bool isOwnHeader(std::string_view name)
+{
+    constexpr std::array<std::string_view, 17> names{"Connection",
+                                                     "Keep-Alive",
+                                                     "Transfer-Encoding",
+                                                     "TE",
+                                                     "Trailer",
+                                                     "Upgrade",
+                                                     "Host",
+                                                     "Content-Length",
+                                                     "Authorization",
+                                                     "Expect",
+                                                     "X-Request-Id",
+                                                     "X-Deadline-Ms",
+                                                     "X-Priority",
+                                                     "X-Load",
+                                                     "X-Not-Run",
+                                                     "X-Outcome",
+                                                     "Proxy-Connection"};
+    return std::any_of(names.begin(), names.end(), [&](std::string_view it) { return Text::equalsIgnoreCase(it, name); });
+}
+
+bool isPrintable(std::string_view text)
+{
+    return std::all_of(text.begin(), text.end(), [](char it) { return it > ' ' && it < '\x7f'; });
+}
+
+std::optional<Millis> millisHeader(const Net::ServerRequest &request, const char *name)
+{
+    const auto text = request.header(name);
+    const auto number = text ? Text::parseInteger(*text) : std::nullopt;
+    if (!number || *number < 0) {
+        return std::nullopt;
+    }
+    return Millis{static_cast<double>(*number)};
+}
+
+std::string scopedKey(std::string_view partner, std::string_view service, std::string_view key)
+{
+    return Text::concat(partner, "\n", service, "\n", key);
+}
+
+}
+
+/// One call while its handler thread serves it.
+struct CallHandler::Call
+{
+    Net::ServerRequest &request;
+    std::string requestId;
+    std::shared_ptr<const RuntimeConfig> config = nullptr;
+    const ServiceView *service = nullptr;
+    const PartnerView *partner = nullptr;
+    const Config::Route *route = nullptr;
+    std::shared_ptr<CallContext> context = std::make_shared<CallContext>();
+    std::string key = {};
+    bool bodyRead = false;
+};
+
+std::string_view nameOf(CallFailure failure)
+{
+    return shapeOf(failure).name;
+}
+
+CallHandler::CallHandler(const Settings &settings, Traffic &traffic, KeyGuard &keys)
+    : m_settings(settings)
+    , m_traffic(traffic)
+    , m_keys(keys)
+    , m_run(static_cast<std::uint64_t>(Process::wallNow().count))
+{
+}
+
+void CallHandler::handle(Net::ServerRequest &request)
+{
+    if (m_draining) {
+        // A caller that keeps an old answer is served, and told to come back elsewhere.
+        request.closeAfter();
+    }
+    const auto path = request.path();
+    if (path == entriesPath) {
+        handleEntries(request);
+    } else if (path.starts_with(callPrefix)) {
+        ++m_counters.inFlight;
+        handleCall(request);
+        --m_counters.inFlight;
+    } else {
+        Call call{.request = request, .requestId = nextRequestId(request)};
+        fail(call, CallFailure::UnknownPath, "paths are /v1/entries and /v1/call/SERVICE/PATH");
+    }
+}
+
+// The caller's own id is kept where it is harmless; a run-unique one otherwise.
+std::string CallHandler::nextRequestId(const Net::ServerRequest &request)
+{
+    const auto given = request.header("X-Request-Id");
+    if (given && !given->empty() && given->size() <= maxIdLength && isPrintable(*given)) {
+        return std::string(*given);
+    }
+    return Text::concat(m_settings.host, "-", Text::hex(m_run), "-", m_nextCall.fetch_add(1));
+}
+
+void CallHandler::handleEntries(Net::ServerRequest &request)
+{
+    Call call{.request = request, .requestId = nextRequestId(request)};
+    const auto config = m_traffic.config();
+    const auto *service = config ? config->findService(request.parameter("service")) : nullptr;
+    if (service == nullptr) {
+        fail(call, config ? CallFailure::UnknownService : CallFailure::NoConfiguration, "name a service: /v1/entries?service=NAME");
+        return;
+    }
+    auto members = dispatchersOf(*service, m_traffic.serving());
+    if (!members.empty()) {
+        // Callers take the first address: each answer starts the list one further on.
+        const auto turn = m_entryTurn.fetch_add(1) % members.size();
+        std::rotate(members.begin(), members.begin() + static_cast<std::ptrdiff_t>(turn), members.end());
+    }
+    nlohmann::json entries = nlohmann::json::array();
+    for (const auto &it : members) {
+        entries.push_back({{"address", Config::toString(it.info.entry)}, {"host", it.info.host}, {"domain", it.info.domain}});
+    }
+    const nlohmann::json body{{"service", service->name},
+                              {"revision", config->revision()},
+                              {"ttl_ms", m_settings.entryTtl.count},
+                              {"entries", entries}};
+    ++m_counters.entriesAnswered;
+    Net::sendResponse(request, {.status = 200, .body = body.dump() + "\n"});
+}
+
+void CallHandler::handleCall(Net::ServerRequest &request)
+{
+    Call call{.request = request, .requestId = nextRequestId(request)};
+    if (identify(call) && readRequest(call) && enterKey(call)) {
+        runCall(call);
+    }
+    m_counters.bufferedBytes -= static_cast<std::int64_t>(call.context->body.size());
+}
+
+bool CallHandler::identify(Call &call)
+{
+    call.config = m_traffic.config();
+    if (!call.config) {
+        fail(call, CallFailure::NoConfiguration, "this host has no configuration yet", 1_s);
+        return false;
+    }
+    const auto rest = call.request.path().substr(callPrefix.size());
+    const auto slash = rest.find('/');
+    const auto path = slash == std::string_view::npos ? std::string_view("/") : rest.substr(slash);
+    const auto credential = call.request.header("Authorization").value_or("");
+    call.partner = credential.starts_with("Bearer ") ? call.config->findPartner(credential.substr(7)) : nullptr;
+    if (call.partner == nullptr) {
+        fail(call, CallFailure::WrongCredential, "send Authorization: Bearer CREDENTIAL");
+        return false;
+    }
+    call.service = call.config->findService(rest.substr(0, slash));
+    if (call.service == nullptr) {
+        fail(call, CallFailure::UnknownService, "no such service");
+        return false;
+    }
+    if (call.service->service.owner != call.partner->owner) {
+        fail(call, CallFailure::NotAllowed, "the service belongs to another owner");
+        return false;
+    }
+    call.route = call.service->findRoute(call.request.method(), path);
+    if (call.route == nullptr) {
+        fail(call, CallFailure::UnknownRoute, "the service has no such method and path");
+        return false;
+    }
+    auto &context = *call.context;
+    context.method = call.request.method();
+    context.target = std::string(path);
+    if (!call.request.query().empty()) {
+        Text::append(context.target, "?", call.request.query());
+    }
+    for (auto &it : call.request.headers()) {
+        if (!isOwnHeader(it.name)) {
+            context.headers.push_back(std::move(it));
+        }
+    }
+    return true;
+}
+
+bool CallHandler::readRequest(Call &call)
+{
+    auto &context = *call.context;
+    const auto length = call.request.contentLength();
+    const auto buffered = m_settings.bufferedBytes;
+    context.maxBodyBytes = call.route->maxBodyBytes;
+    context.bufferedBytes = static_cast<std::size_t>(buffered);
+    if (length && *length > call.route->maxBodyBytes) {
+        fail(call, CallFailure::TooLarge, Text::concat("at most ", call.route->maxBodyBytes, " bytes"));
+        return false;
+    }
+    const std::int64_t wanted = length ? std::min(*length, buffered) : call.request.hasBody() ? buffered : 0;
+    if (m_counters.bufferedBytes + wanted > m_settings.memoryBytes) {
+        fail(call, CallFailure::NotRun, "no memory for the body", 1_s);
+        return false;
+    }
+    std::array<char, pieceBytes> buf;
+    bool ended = !call.request.hasBody();
+    while (!ended && static_cast<std::int64_t>(context.body.size()) < buffered) {
+        const auto n = call.request.read(buf);
+        if (n < 0) {
+            fail(call, CallFailure::BadRequest, "the body broke off");
+            return false;
+        }
+        ended = n == 0;
+        context.body.append(buf.data(), static_cast<std::size_t>(n));
+        m_counters.bufferedBytes += n;
+    }
+    if (static_cast<std::int64_t>(context.body.size()) > call.route->maxBodyBytes) {
+        fail(call, CallFailure::TooLarge, Text::concat("at most ", call.route->maxBodyBytes, " bytes"));
+        return false;
+    }
+    context.bytesIn = context.body.size();
+    const bool whole = ended || (length && static_cast<std::int64_t>(context.body.size()) >= *length);
+    call.bodyRead = whole;
+    if (!whole) {
+        context.stream = &call.request;
+        context.streamLength = length;
+    }
+    return true;
+}
+
+bool CallHandler::enterKey(Call &call)
+{
+    auto &context = *call.context;
+    context.requestId = call.requestId;
+    const auto now = Process::steadyNow();
+    auto budget = call.route->deadline;
+    if (const auto given = millisHeader(call.request, "X-Deadline-Ms")) {
+        budget = std::min(budget, *given);
+    }
+    context.request = {.id = m_nextCall.fetch_add(1),
+                       .flow = call.partner->flow,
+                       .weight = call.partner->weight,
+                       .priority = call.route->priority,
+                       .idempotent = call.route->idempotent,
+                       .resendable = context.stream == nullptr,
+                       .deadline = now + budget};
+    const auto key = call.request.header("Idempotency-Key");
+    if (!key || call.route->idempotent) {
+        return true;
+    }
+    if (key->empty() || key->size() > maxKeyLength || !isPrintable(*key)) {
+        fail(call, CallFailure::BadRequest, "Idempotency-Key: 1 to 256 printable characters");
+        return false;
+    }
+    const auto scoped = scopedKey(call.partner->name, call.service->name, *key);
+    const auto attempt = Text::parseInteger(call.request.header("X-Attempt").value_or("1"));
+    if (!attempt || *attempt < 1) {
+        fail(call, CallFailure::BadRequest, "X-Attempt: a number from 1");
+        return false;
+    }
+    RepeatedCall repeat{.key = scoped, .previous = {}, .age = millisHeader(call.request, "X-First-Attempt-Age-Ms"), .deadline = context.request.deadline};
+    for (const auto it : Text::split(call.request.header("X-Previous-Entries").value_or(""), ',')) {
+        const auto address = Config::parseAddress(Text::trim(it));
+        if (!address) {
+            fail(call, CallFailure::BadRequest, "X-Previous-Entries: IP:PORT, separated by commas");
+            return false;
+        }
+        repeat.previous.push_back(*address);
+    }
+    const auto verdict = *attempt == 1 ? m_keys.enterFirst(scoped, repeat.deadline) : m_keys.enterRepeat(repeat);
+    return std::visit(Overloaded{[&](const Idempotency::RunIt &) {
+                                     call.key = scoped;
+                                     return true;
+                                 },
+                                 [&](const Idempotency::Answered &it) {
+                                     replay(call, *it.answer);
+                                     return false;
+                                 },
+                                 [&](const Idempotency::ClaimedBy &) {
+                                     fail(call, CallFailure::Superseded, "a later attempt of this call has taken it over");
+                                     return false;
+                                 },
+                                 [&](const auto &) {
+                                     fail(call, CallFailure::Unknown, "an earlier attempt may have run");
+                                     return false;
+                                 }},
+                      verdict);
+}
+
+void CallHandler::runCall(Call &call)
+{
+    const auto runner = m_traffic.runner(call.service->name);
+    const auto result = runner->run(call.context);
+    settleKey(call, result);
+    countUse(call, result);
+    answer(call, result);
+}
+
+// Before the answer leaves: a repeat that comes the moment after must find it.
+void CallHandler::settleKey(const Call &call, const CallResult &result)
+{
+    if (call.key.empty()) {
+        return;
+    }
+    const auto *finished = std::get_if<CallFinished>(&result);
+    if (finished != nullptr && finished->disposition == Disposition::Done && finished->answer) {
+        const auto &answer = *finished->answer;
+        Idempotency::StoredAnswer stored{.status = answer.head.status,
+                                         .contentType = std::string(answer.head.header("Content-Type").value_or("application/octet-stream")),
+                                         .body = answer.live ? std::string() : answer.body,
+                                         .bodyDropped = answer.live != nullptr};
+        m_keys.finishAnswered(call.key, std::move(stored));
+        return;
+    }
+    const bool notRun = std::holds_alternative<CallRefused>(result) || (finished != nullptr && finished->disposition == Disposition::NotRun);
+    if (notRun) {
+        m_keys.finishNotRun(call.key);
+    } else {
+        m_keys.finishUnknown(call.key);
+    }
+}
+
+void CallHandler::countUse(const Call &call, const CallResult &result)
+{
+    const auto *finished = std::get_if<CallFinished>(&result);
+    const bool done = finished != nullptr && finished->disposition == Disposition::Done && finished->answer;
+    Usage::UsageCounters use{.calls = done ? 1U : 0U, .refused = done ? 0U : 1U, .bytesIn = call.context->bytesIn};
+    if (done) {
+        use.bytesOut = static_cast<std::uint64_t>(
+            std::max<std::int64_t>(finished->answer->head.contentLength.value_or(0), static_cast<std::int64_t>(finished->answer->body.size())));
+    }
+    {
+        const std::lock_guard lock(call.context->mutex);
+        use.slotMicros = call.context->slotMicros;
+    }
+    m_traffic.countUse({.owner = call.partner->owner, .partner = call.partner->name, .service = call.service->name}, use);
+}
+
+void CallHandler::answer(Call &call, const CallResult &result)
+{
+    std::visit(Overloaded{[&](const CallRefused &it) { fail(call, CallFailure::NotRun, nameOf(it.reason), it.retryAfter); },
+                          [&](const CallerBodyFailed &it) {
+                              const bool tooLarge = it.error == Net::BodyError::TooLarge;
+                              fail(call, tooLarge ? CallFailure::TooLarge : CallFailure::BadRequest, tooLarge ? "too large" : "the body broke off");
+                          },
+                          [&](const CallFinished &it) {
+                              if (it.disposition == Disposition::Done && it.answer) {
+                                  relay(call, *it.answer);
+                              } else if (it.disposition == Disposition::NotRun) {
+                                  fail(call, CallFailure::NotRun, nameOf(Dispatch::RefusalReason::Overloaded), it.retryAfter);
+                              } else {
+                                  fail(call, CallFailure::Unknown, "no whole answer came; the call may have run");
+                              }
+                          }},
+               result);
+}
+
+void CallHandler::relay(Call &call, UpstreamAnswer &answer)
+{
+    ++m_counters.done;
+    if (answer.live) {
+        relayLive(call, answer);
+        return;
+    }
+    Net::ServerResponse response{.status = answer.head.status, .headers = {}, .body = std::move(answer.body)};
+    response.contentType = std::string(answer.head.header("Content-Type").value_or("application/octet-stream"));
+    for (const auto &it : answer.head.headers) {
+        if (!isOwnHeader(it.name) && !Text::equalsIgnoreCase(it.name, "Content-Type")) {
+            response.headers.push_back(it);
+        }
+    }
+    response.headers.push_back({.name = "X-Request-Id", .value = call.requestId});
+    response.headers.push_back({.name = "X-Outcome", .value = "done"});
+    if (!call.bodyRead) {
+        call.request.closeAfter();
+    }
+    Net::sendResponse(call.request, response);
+}
+
+// A long answer goes on as it comes. If it breaks off, the connection ends before the announced length or the last chunk.
+void CallHandler::relayLive(Call &call, UpstreamAnswer &answer)
+{
+    auto &live = *answer.live;
+    const auto length = answer.head.contentLength;
+    const Net::ServerResponse head{.status = answer.head.status,
+                                   .contentType = std::string(answer.head.header("Content-Type").value_or("application/octet-stream")),
+                                   .headers = {{.name = "X-Request-Id", .value = call.requestId}, {.name = "X-Outcome", .value = "done"}},
+                                   .body = {}};
+    Net::sendHead(call.request, head, length);
+    bool whole = Net::sendPiece(call.request, answer.body, !length);
+    std::array<char, pieceBytes> buf;
+    while (whole) {
+        const auto n = live.read(buf);
+        if (n == 0) {
+            break;
+        }
+        whole = n > 0 && Net::sendPiece(call.request, {buf.data(), static_cast<std::size_t>(n)}, !length);
+    }
+    if (whole && !length) {
+        whole = Net::sendLastPiece(call.request);
+    }
+    if (whole) {
+        live.giveBack();
+    } else {
+        call.request.closeAfter();
+    }
+}
+
+void CallHandler::replay(Call &call, const Idempotency::StoredAnswer &stored)
+{
+    ++m_counters.replayed;
+    Net::ServerResponse response{.status = stored.status, .contentType = stored.contentType, .headers = {}, .body = stored.body};
+    response.headers = {{.name = "X-Request-Id", .value = call.requestId},
+                        {.name = "X-Outcome", .value = "done"},
+                        {.name = "X-Replayed", .value = stored.bodyDropped ? "without-body" : "yes"}};
+    Net::sendResponse(call.request, response);
+}
+
+void CallHandler::fail(Call &call, CallFailure failure, std::string_view reason, Millis retryAfter)
+{
+    ++m_counters.failed[static_cast<std::size_t>(failure)];
+    const auto &shape = shapeOf(failure);
+    const nlohmann::json body{{"failure", shape.name}, {"reason", reason}, {"request_id", call.requestId}, {"outcome", shape.outcome}};
+    Net::ServerResponse response{.status = shape.status, .headers = {}, .body = body.dump() + "\n"};
+    response.headers.push_back({.name = "X-Request-Id", .value = call.requestId});
+    response.headers.push_back({.name = "X-Outcome", .value = std::string(shape.outcome)});
+    if (retryAfter.count > 0) {
+        response.headers.push_back({.name = "Retry-After", .value = Text::concat(static_cast<int>(std::ceil(retryAfter / 1_s)))});
+    }
+    if (failure == CallFailure::WrongCredential) {
+        response.headers.push_back({.name = "WWW-Authenticate", .value = "Bearer"});
+    }
+    if (call.request.hasBody() && !call.bodyRead) {
+        call.request.closeAfter();
+    }
+    Net::sendResponse(call.request, response);
+}
+
+}
--- /dev/null
+++ b/src/daemon/control.cpp
@@ -0,0 +1,670 @@
+#include "daemon/control.h"
+
+#include "core/config/address.h"
+#include "core/routing/rendezvous.h"
+#include "net/peerclient.h"
+#include "process/log.h"
+#include "process/wallclock.h"
+#include "core/text.h"
+
+#include <algorithm>
+#include <ctime>
+
+namespace Laburnummast::Daemon
+{
+namespace
+{
+
+using Process::steadyNow;
+
+constexpr auto tickEvery = std::chrono::milliseconds(50);
+constexpr std::size_t helperThreads = 4;
+constexpr std::size_t usageCopies = 2;
+constexpr std::size_t handOverCopies = 2;
+constexpr Millis peerTimeout = 1_s;
+constexpr Millis fetchTimeout = 3_s;
+constexpr Millis appendTimeout = 1500_ms;
+constexpr Millis publishLimit = 10_s;
+constexpr Millis verdictLimit = 5_s;
+constexpr Millis publishPause = 200_ms;
+constexpr Millis lastFlush = 2_s;
+constexpr std::size_t maxHostListBytes = 4 << 20;
+constexpr int scanRecords = 1000;
+// A run refutes false reports by counting its incarnation up; a restart starts from the clock, far above.
+constexpr std::uint64_t refutationsPerRun = 1000;
+constexpr std::string_view readerKey = "log-readers";
+
+std::vector<Membership::Member> chosenMembers(std::string_view key, const std::vector<Membership::Member> &members, std::size_t count)
+{
+    std::vector<Routing::Candidate> candidates;
+    for (const auto &it : members) {
+        candidates.push_back({.name = it.info.host, .domain = it.info.domain});
+    }
+    std::vector<Membership::Member> chosen;
+    for (const auto it : Routing::rendezvousSet(key, candidates, count)) {
+        chosen.push_back(members[it]);
+    }
+    return chosen;
+}
+
+Membership::MembershipOptions membershipOptions(const Settings &settings, std::uint64_t incarnation)
+{
+    return {.self = {.host = settings.host,
+                     .domain = settings.domain,
+                     .peer = settings.peerAddress,
+                     .entry = settings.entryAddress,
+                     .admin = settings.adminAddress},
+            .incarnation = incarnation,
+            .seeds = settings.seeds,
+            .seed = incarnation};
+}
+
+double threadCpuSeconds()
+{
+    constexpr double nanosPerSecond = 1e9;
+    timespec time{};
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+    return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_nsec) / nanosPerSecond;
+}
+
+nlohmann::json toJson(const Membership::Member &member)
+{
+    return {{"host", member.info.host},
+            {"domain", member.info.domain},
+            {"state", nameOf(member.state)},
+            {"incarnation", member.incarnation},
+            {"entry", Config::toString(member.info.entry)},
+            {"admin", Config::toString(member.info.admin)},
+            {"peer", Config::toString(member.info.peer)},
+            {"config_offset", member.config.offset},
+            {"config_hash", Text::hex((member.config.hash))}};
+}
+
+}
+
+Control::Control(const Settings &settings, const Usage::UsageSource &identity, std::string peerKey, Traffic &traffic, KeyGuard &keys)
+    : m_settings(settings)
+    , m_peerKey(std::move(peerKey))
+    , m_traffic(traffic)
+    , m_keys(keys)
+    , m_timer(m_context)
+    , m_peers(m_context, m_peerKey)
+    , m_membership(membershipOptions(settings, identity.incarnation))
+    , m_chain(identity)
+    , m_log(settings.logAddress)
+    , m_outbox(m_log)
+    , m_tail(m_log,
+             settings.logPoll,
+             {.position = [this] { return position().offset; },
+              .apply =
+                  [this](std::vector<Net::LogRecord> records) {
+                      std::promise<void> done;
+                      boost::asio::post(m_context, [&] {
+                          applyRecords(records);
+                          done.set_value();
+                      });
+                      done.get_future().wait();
+                  },
+              .takeSnapshot =
+                  [this](const std::string &bytes) {
+                      std::promise<bool> done;
+                      boost::asio::post(m_context, [&] { done.set_value(takeSnapshot(bytes)); });
+                      return done.get_future().get();
+                  }})
+    , m_helpers(helperThreads)
+    , m_startedAt(steadyNow())
+{
+    m_selfCopy = m_membership.self();
+}
+
+Control::~Control()
+{
+    stop();
+}
+
+std::optional<Membership::Address> Control::start()
+{
+    const auto failure = m_peers.start(
+        m_settings.peerAddress,
+        [this](const Membership::Message &message, const Membership::Address &from) {
+            Membership::MembershipActions actions;
+            m_membership.receive(message, from, steadyNow(), actions);
+            carryOut(actions);
+        },
+        [this](const Net::PeerRequest &request) { return answerPeer(request); });
+    if (failure) {
+        return failure;
+    }
+    const auto now = steadyNow();
+    m_nextShare = now + m_settings.shareUsageEvery;
+    m_nextUsage = now + m_settings.logUsageEvery;
+    m_thread = std::thread([this] {
+        tick();
+        m_context.run();
+    });
+    m_outbox.start();
+    m_tail.start();
+    return std::nullopt;
+}
+
+void Control::stop()
+{
+    m_tail.stop();
+    m_outbox.stop();
+    m_helpers.stop();
+    boost::asio::post(m_context, [this] { m_peers.stop(); });
+    if (m_thread.joinable()) {
+        m_context.stop();
+        m_thread.join();
+    }
+}
+
+void Control::reload(const Settings &settings)
+{
+    boost::asio::post(m_context, [this, settings] {
+        m_membership.addSeeds(settings.seeds);
+        m_settings.hostLists = settings.hostLists;
+        m_settings.hostListEvery = settings.hostListEvery;
+        m_settings.shareUsageEvery = settings.shareUsageEvery;
+        m_settings.logUsageEvery = settings.logUsageEvery;
+        m_settings.snapshotEvery = settings.snapshotEvery;
+        m_settings.logReaders = settings.logReaders;
+        m_membersChanged = true;
+    });
+}
+
+void Control::tick()
+{
+    const auto now = steadyNow();
+    Membership::MembershipActions actions;
+    m_membership.tick(now, actions);
+    carryOut(actions);
+    if (m_membersChanged) {
+        publishMembers();
+    }
+    fetchIfBehind();
+    if (now >= m_nextShare) {
+        m_nextShare = now + m_settings.shareUsageEvery;
+        shareUsage();
+        m_keys.expire();
+    }
+    if (now >= m_nextUsage) {
+        m_nextUsage = now + m_settings.logUsageEvery;
+        writeUsage();
+    }
+    if (now >= m_nextHosts) {
+        m_nextHosts = now + m_settings.hostListEvery;
+        pollHosts();
+    }
+    m_cpuSeconds = threadCpuSeconds();
+    m_counters.falseDeaths = m_membership.falseDeaths();
+    m_timer.expires_after(tickEvery);
+    m_timer.async_wait([this](const auto &ec) {
+        if (!ec) {
+            tick();
+        }
+    });
+}
+
+void Control::carryOut(const Membership::MembershipActions &actions)
+{
+    for (const auto &action : actions) {
+        std::visit(Overloaded{[this](const Membership::SendMessage &it) { m_peers.send(it.to, it.message); },
+                              [this](const Membership::MemberChanged &it) { noteMember(it); }},
+                   action);
+    }
+}
+
+void Control::noteMember(const Membership::MemberChanged &change)
+{
+    m_membersChanged = true;
+    const auto &member = change.member;
+    if (change.before != member.state) {
+        Process::logInfo("member",
+                         {{"host", member.info.host},
+                          {"before", std::string(change.before ? nameOf(*change.before) : "unknown")},
+                          {"state", std::string(nameOf(member.state))},
+                          {"incarnation", Text::concat(member.incarnation)}});
+    }
+    const auto here = position();
+    const bool diverged = member.config.offset == here.offset && member.config.hash != here.hash && here.offset != Config::noOffset;
+    if (diverged && m_diverged.insert(member.info.host).second) {
+        ++m_counters.divergences;
+        Process::logError("config-divergence", {{"host", member.info.host}, {"offset", Text::concat(here.offset)}});
+    } else if (!diverged) {
+        m_diverged.erase(member.info.host);
+    }
+}
+
+void Control::publishMembers()
+{
+    m_membersChanged = false;
+    const auto serving = m_membership.serving();
+    auto all = m_membership.others();
+    all.push_back(m_membership.self());
+    {
+        const std::lock_guard lock(m_stateMutex);
+        m_selfCopy = m_membership.self();
+    }
+    const auto readers = chosenMembers(readerKey, serving, static_cast<std::size_t>(m_settings.logReaders));
+    const bool reads = serving.size() <= 1
+        || std::any_of(readers.begin(), readers.end(), [this](const auto &it) { return it.info.host == m_settings.host; });
+    if (reads != m_tail.reading()) {
+        Process::logInfo("log-reader", {{"reading", reads ? "yes" : "no"}});
+        m_tail.setReading(reads);
+    }
+    m_traffic.setMembers(serving, std::move(all));
+}
+
+Net::PeerReply Control::answerPeer(const Net::PeerRequest &request)
+{
+    return std::visit(Overloaded{[this](const Net::FetchConfig &it) -> Net::PeerReply {
+                                     const bool newer = position().offset > it.have;
+                                     return Net::ConfigReply{.snapshot = newer ? snapshot() : std::string()};
+                                 },
+                                 [this](const Net::ClaimKey &it) -> Net::PeerReply { return Net::toReply(m_keys.claimFor(it)); },
+                                 [this](const Net::HandOverKeys &it) -> Net::PeerReply {
+                                     m_keys.adopt(it);
+                                     return Net::Acknowledged{};
+                                 },
+                                 [this](const Net::ShareUsage &it) -> Net::PeerReply {
+                                     for (const auto &copy : it.copies) {
+                                         m_traffic.mergeUsage(copy.source, copy.table);
+                                     }
+                                     return Net::Acknowledged{};
+                                 },
+                                 [this](const Net::TellDraining &it) -> Net::PeerReply {
+                                     m_traffic.setUpstreamDraining(it.service, it.upstream);
+                                     return Net::Acknowledged{};
+                                 }},
+                      request);
+}
+
+void Control::applyRecords(const std::vector<Net::LogRecord> &records)
+{
+    bool moved = false;
+    for (const auto &it : records) {
+        if (it.offset <= position().offset) {
+            continue;
+        }
+        Config::Verdict verdict;
+        {
+            const std::lock_guard lock(m_stateMutex);
+            verdict = m_state.apply(it.offset, it.data);
+        }
+        noteVerdict(verdict, it.offset);
+        moved = true;
+    }
+    if (moved) {
+        configMoved();
+        writeSnapshotIfDue();
+    }
+}
+
+void Control::noteVerdict(const Config::Verdict &verdict, Config::Offset offset)
+{
+    const auto at = Text::concat(offset);
+    std::visit(Overloaded{[&](const Config::Accepted &it) {
+                              ++m_counters.notesAccepted;
+                              Process::logInfo("note-accepted", {{"id", it.noteId}, {"offset", at}});
+                          },
+                          [&](const Config::Repeated &) { ++m_counters.notesRepeated; },
+                          [&](const Config::Rejected &it) {
+                              ++m_counters.notesRejected;
+                              Process::logInfo("note-rejected", {{"id", it.noteId}, {"offset", at}, {"reason", nameOf(it.reasons.front().kind)}});
+                          },
+                          [&](const Config::Unreadable &it) {
+                              ++m_counters.recordsUnreadable;
+                              const bool future = std::holds_alternative<Config::FutureFormat>(it.failure);
+                              Process::logWarning("record-unreadable", {{"offset", at}, {"kind", future ? "future-format" : "malformed"}});
+                          }},
+               verdict);
+}
+
+bool Control::takeSnapshot(const std::string &bytes)
+{
+    auto read = Config::ConfigState::readSnapshot(bytes);
+    if (const auto *failure = std::get_if<Config::SnapshotError>(&read)) {
+        ++m_counters.snapshotsRefused;
+        Process::logWarning("snapshot-refused", {{"reason", nameOf(*failure)}});
+        return false;
+    }
+    auto &state = std::get<Config::ConfigState>(read);
+    if (state.offset() <= position().offset) {
+        return false;
+    }
+    Process::logInfo("snapshot-taken", {{"offset", Text::concat(state.offset())}});
+    {
+        const std::lock_guard lock(m_stateMutex);
+        m_state = std::move(state);
+        m_lastSnapshot = m_state.offset();
+    }
+    configMoved();
+    return true;
+}
+
+void Control::configMoved()
+{
+    std::shared_ptr<const RuntimeConfig> config;
+    {
+        const std::lock_guard lock(m_stateMutex);
+        config = std::make_shared<const RuntimeConfig>(m_state);
+    }
+    m_traffic.setConfig(config);
+    Membership::MembershipActions actions;
+    m_membership.setConfig(position(), steadyNow(), actions);
+    carryOut(actions);
+    publishMembers();
+    m_stateChanged.notify_all();
+}
+
+void Control::fetchIfBehind()
+{
+    if (m_fetching) {
+        return;
+    }
+    const auto here = position().offset;
+    const auto others = m_membership.others();
+    const auto further = std::max_element(others.begin(), others.end(), [](const auto &a, const auto &b) {
+        return a.config.offset < b.config.offset;
+    });
+    if (further != others.end() && further->config.offset > here && further->state <= Membership::MemberState::Leaving) {
+        fetchFrom(*further);
+    }
+}
+
+void Control::fetchFrom(const Membership::Member &member)
+{
+    m_fetching = true;
+    ++m_counters.configFetches;
+    m_helpers.post([this, address = member.info.peer, have = position().offset] {
+        auto reply = Net::askPeer(address, Net::FetchConfig{.have = have}, m_peerKey, fetchTimeout);
+        boost::asio::post(m_context, [this, reply = std::move(reply)] {
+            m_fetching = false;
+            const auto *answer = std::get_if<Net::PeerReply>(&reply);
+            const auto *config = answer == nullptr ? nullptr : std::get_if<Net::ConfigReply>(answer);
+            if (config != nullptr && !config->snapshot.empty()) {
+                takeSnapshot(config->snapshot);
+            }
+        });
+    });
+}
+
+// Snapshots of the same offset are equal, so two writers at once do no harm; choosing one only saves appends.
+void Control::writeSnapshotIfDue()
+{
+    const auto here = position().offset;
+    if (here - m_lastSnapshot < m_settings.snapshotEvery) {
+        return;
+    }
+    m_lastSnapshot = here;
+    const auto first = chosenMembers(readerKey, m_membership.serving(), 1);
+    if (first.empty() || first.front().info.host == m_settings.host) {
+        m_outbox.replace(std::string(Net::snapshotStream), snapshot());
+    }
+}
+
+Result<Config::NoteOutcome, PublishError> Control::publish(const std::string &text, const std::string &id)
+{
+    const auto until = steadyNow() + publishLimit;
+    const auto from = position().offset + 1;
+    bool inLog = false;
+    while (!inLog && steadyNow() < until) {
+        const auto appended = m_log.append(Net::noteStream, text, appendTimeout);
+        inLog = std::holds_alternative<Config::Offset>(appended);
+        if (!inLog && std::get<Net::LogError>(appended) == Net::LogError::Ambiguous) {
+            // The append may have taken effect: the note's id in the log tells.
+            inLog = findInLog(id, from);
+        }
+        if (!inLog) {
+            std::this_thread::sleep_for(Process::toChrono(publishPause));
+        }
+    }
+    std::unique_lock lock(m_stateMutex);
+    const auto known = [&] { return m_state.findOutcome(id) != nullptr; };
+    if (m_stateChanged.wait_for(lock, Process::toChrono(inLog ? verdictLimit : Millis{}), known)) {
+        return *m_state.findOutcome(id);
+    }
+    return PublishError{.kind = inLog ? PublishErrorKind::NoVerdictYet : PublishErrorKind::LogUnreachable};
+}
+
+bool Control::findInLog(const std::string &id, Config::Offset from) const
+{
+    const auto page = m_log.read(Net::noteStream, from, scanRecords, {});
+    const auto *records = std::get_if<Net::LogPage>(&page);
+    if (records == nullptr) {
+        return false;
+    }
+    const auto isIt = [&](const Net::LogRecord &record) {
+        const auto parsed = Config::parseNote(record.data, "note");
+        const auto *note = std::get_if<Config::Note>(&parsed);
+        return note != nullptr && note->id == id;
+    };
+    return std::any_of(records->records.begin(), records->records.end(), isIt);
+}
+
+std::optional<Config::NoteOutcome> Control::outcomeOf(std::string_view noteId) const
+{
+    const std::lock_guard lock(m_stateMutex);
+    const auto *it = m_state.findOutcome(noteId);
+    return it == nullptr ? std::nullopt : std::optional(*it);
+}
+
+std::vector<Config::Rejection> Control::check(const Config::Note &note) const
+{
+    const std::lock_guard lock(m_stateMutex);
+    return m_state.check(note);
+}
+
+std::vector<Config::NoteOutcome> Control::outcomes() const
+{
+    const std::lock_guard lock(m_stateMutex);
+    return {m_state.outcomes().begin(), m_state.outcomes().end()};
+}
+
+std::string Control::snapshot() const
+{
+    const std::lock_guard lock(m_stateMutex);
+    return m_state.writeSnapshot();
+}
+
+Membership::ConfigPosition Control::position() const
+{
+    const std::lock_guard lock(m_stateMutex);
+    return {.offset = m_state.offset(), .hash = m_state.hash()};
+}
+
+Membership::Member Control::self() const
+{
+    const std::lock_guard lock(m_stateMutex);
+    return m_selfCopy;
+}
+
+void Control::leave()
+{
+    boost::asio::post(m_context, [this] {
+        Membership::MembershipActions actions;
+        m_membership.leave(steadyNow(), actions);
+        carryOut(actions);
+        publishMembers();
+    });
+}
+
+void Control::handOver()
+{
+    const auto heirs = chosenMembers(Text::concat("heirs:", m_settings.host), m_traffic.serving(), handOverCopies);
+    const Net::PeerRequest keys = Net::HandOverKeys{.from = m_settings.host, .keys = m_keys.handOver()};
+    std::size_t taken = 0;
+    for (const auto &it : heirs) {
+        taken += std::holds_alternative<Net::PeerReply>(Net::askPeer(it.info.peer, keys, m_peerKey, peerTimeout)) ? 1 : 0;
+    }
+    Process::logInfo("keys-handed-over", {{"members", Text::concat(taken)}});
+    std::promise<void> done;
+    boost::asio::post(m_context, [&] {
+        shareUsage();
+        writeUsage();
+        Membership::MembershipActions actions;
+        m_membership.leftNow(steadyNow(), actions);
+        carryOut(actions);
+        done.set_value();
+    });
+    done.get_future().wait();
+    if (!m_outbox.flush(lastFlush)) {
+        Process::logWarning("usage-not-logged", {{"note", "peers hold a copy"}});
+    }
+}
+
+void Control::tellDraining(const std::string &service, const std::string &upstream)
+{
+    Process::logInfo("upstream-draining", {{"service", service}, {"upstream", upstream}});
+    for (const auto &it : m_traffic.serving()) {
+        if (it.info.host != m_settings.host) {
+            m_helpers.post([this, address = it.info.peer, service, upstream] {
+                (void)Net::askPeer(address, Net::TellDraining{.service = service, .upstream = upstream}, m_peerKey, peerTimeout);
+            });
+        }
+    }
+}
+
+void Control::shareUsage()
+{
+    const auto own = m_traffic.ownUsage();
+    if (own == m_sharedUsage) {
+        return;
+    }
+    m_sharedUsage = own;
+    const Net::ShareUsage copy{.copies = {{.source = m_traffic.usage().self(), .table = own}}};
+    auto others = m_membership.serving();
+    std::erase_if(others, [this](const auto &it) { return it.info.host == m_settings.host; });
+    for (const auto &it : chosenMembers(Text::concat("usage:", m_settings.host), others, usageCopies)) {
+        m_helpers.post([this, address = it.info.peer, copy] { (void)Net::askPeer(address, copy, m_peerKey, peerTimeout); });
+    }
+}
+
+// Besides its own counters a member writes the copies it holds of the dead, which can write no more.
+void Control::writeUsage()
+{
+    const auto ledger = m_traffic.usage();
+    const auto others = m_membership.others();
+    std::vector<Usage::UsageEntry> entries;
+    for (const auto &[source, table] : ledger.sources()) {
+        const auto runs = [&, host = source.host, incarnation = source.incarnation](const Membership::Member &it) {
+            return it.info.host == host && it.incarnation - incarnation < refutationsPerRun && it.state <= Membership::MemberState::Leaving;
+        };
+        const bool own = source == ledger.self();
+        const bool ownChanged = own && table != m_loggedUsage;
+        const bool ended = !own && std::none_of(others.begin(), others.end(), runs);
+        if (ownChanged || (ended && m_loggedForDead[source] != table)) {
+            entries.push_back({.source = source, .table = table});
+        }
+    }
+    if (entries.empty() || m_outbox.holds(std::string(Net::usageStream))) {
+        return;
+    }
+    for (const auto &it : entries) {
+        (it.source == ledger.self() ? m_loggedUsage : m_loggedForDead[it.source]) = it.table;
+    }
+    m_outbox.offer(std::string(Net::usageStream), m_chain.next(std::move(entries), Process::wallNow()));
+}
+
+void Control::pollHosts()
+{
+    for (const auto &address : m_settings.hostLists) {
+        m_helpers.post([this, address] {
+            const auto answer = Net::fetch(address, {.method = "GET", .target = "/v1/hosts"}, peerTimeout, maxHostListBytes);
+            const auto *response = std::get_if<Net::ClientResponse>(&answer);
+            if (response != nullptr) {
+                boost::asio::post(m_context, [this, text = response->body] { takeHostList(text); });
+            }
+        });
+    }
+}
+
+// The list lags: it may add addresses to look at and upstreams to spare, but never removes a member.
+void Control::takeHostList(const std::string &text)
+{
+    const auto json = nlohmann::json::parse(text, nullptr, false);
+    if (!json.is_object() || !json.contains("hosts") || !json["hosts"].is_array()) {
+        return;
+    }
+    std::vector<Membership::Address> seeds;
+    const auto config = m_traffic.config();
+    for (const auto &it : json["hosts"]) {
+        const auto address = it.is_object() ? Config::parseAddress(it.value("address", "")) : std::nullopt;
+        if (!address) {
+            continue;
+        }
+        const bool leaving = it.value("state", "") == "leaving";
+        if (it.value("kind", "") == "daemon" && !leaving) {
+            seeds.push_back(*address);
+        }
+        if (it.value("kind", "") != "upstream" || !leaving || !config) {
+            continue;
+        }
+        for (const auto &[name, service] : config->services()) {
+            for (const auto &upstream : service.upstreams) {
+                if (upstream.upstream.host == address->ip && upstream.upstream.port == address->port) {
+                    m_traffic.setUpstreamDraining(name, upstream.name);
+                }
+            }
+        }
+    }
+    m_membership.addSeeds(seeds);
+}
+
+ControlSpending Control::spending() const
+{
+    constexpr double millisPerSecond = 1000;
+    const auto &peers = m_peers.counters();
+    return {.cpuSeconds = m_cpuSeconds,
+            .wallSeconds = (steadyNow() - m_startedAt).count / millisPerSecond,
+            .bytes = peers.bytesIn + peers.bytesOut + m_outbox.counters().bytes};
+}
+
+nlohmann::json Control::dump() const
+{
+    nlohmann::json members = nlohmann::json::array();
+    for (const auto &it : m_traffic.allMembers()) {
+        members.push_back(toJson(it));
+    }
+    const auto here = position();
+    const auto spent = spending();
+    const auto &peers = m_peers.counters();
+    nlohmann::json badDatagrams;
+    for (std::size_t i = 0; i < Membership::messageErrorCount; ++i) {
+        badDatagrams[std::string(nameOf(static_cast<Membership::MessageError>(i)))] = peers.badDatagrams[i].load();
+    }
+    const auto sent = m_outbox.counters();
+    return {{"members", members},
+            {"config",
+             {{"offset", here.offset},
+              {"hash", Text::hex((here.hash))},
+              {"notes_accepted", m_counters.notesAccepted.load()},
+              {"notes_rejected", m_counters.notesRejected.load()},
+              {"notes_repeated", m_counters.notesRepeated.load()},
+              {"records_unreadable", m_counters.recordsUnreadable.load()},
+              {"snapshots_refused", m_counters.snapshotsRefused.load()},
+              {"fetches", m_counters.configFetches.load()},
+              {"divergences", m_counters.divergences.load()}}},
+            {"log",
+             {{"reading", m_tail.reading()},
+              {"reachable", m_tail.reachable()},
+              {"behind_retention", m_tail.behindRetention()},
+              {"reads", m_tail.reads()},
+              {"read_failures", m_tail.failures()},
+              {"appended", sent.appended},
+              {"append_retries", sent.retried},
+              {"waiting", m_outbox.waiting()}}},
+            {"peers",
+             {{"datagrams_in", peers.datagramsIn.load()},
+              {"datagrams_out", peers.datagramsOut.load()},
+              {"bad_datagrams", badDatagrams},
+              {"bad_frames", peers.badFrames.load()},
+              {"false_deaths", m_counters.falseDeaths.load()}}},
+            {"control",
+             {{"cpu_share", spent.wallSeconds > 0 ? spent.cpuSeconds / spent.wallSeconds : 0},
+              {"bytes_per_second", spent.wallSeconds > 0 ? static_cast<double>(spent.bytes) / spent.wallSeconds : 0}}},
+            {"keys", {{"count", m_keys.size()}, {"bytes", m_keys.bytes()}}}};
+}
+
+}
--- /dev/null
+++ b/src/daemon/keyguard.cpp
@@ -0,0 +1,261 @@
+#include "daemon/keyguard.h"
+
+#include "net/peerclient.h"
+#include "process/wallclock.h"
+#include "core/text.h"
+
+#include <algorithm>
+#include <thread>
+
+namespace Laburnummast::Daemon
+{
+namespace
+{
+
+using Idempotency::CannotSay;
+using Idempotency::KeyVerdict;
+using Idempotency::RunIt;
+using Membership::MemberState;
+
+constexpr Millis askAgainAfter = 20_ms;
+constexpr Millis peerTimeout = 500_ms;
+// Between host and incarnation: a restarted host must not take its earlier run's claim for its own.
+constexpr char claimantMark = '#';
+
+template<class T>
+bool is(const KeyVerdict &verdict)
+{
+    return std::holds_alternative<T>(verdict);
+}
+
+}
+
+KeyGuard::KeyGuard(const Idempotency::KeyTableOptions &options, const KeyGuardIdentity &identity, std::string peerKey, MembersFunction members)
+    : m_self(identity.host)
+    , m_claimant(Text::concat(identity.host, std::string(1, claimantMark), identity.incarnation))
+    , m_peerKey(std::move(peerKey))
+    , m_members(std::move(members))
+    , m_window(options.window)
+    , m_table(options, m_claimant, Process::steadyNow())
+{
+}
+
+KeyVerdict KeyGuard::enterFirst(std::string_view key, Millis deadline)
+{
+    KeyVerdict verdict;
+    {
+        const std::lock_guard lock(m_mutex);
+        verdict = m_table.begin(key, Process::steadyNow());
+    }
+    return awaitLocal(key, std::move(verdict), deadline);
+}
+
+// The same call runs here already: its answer, or none known, serves both.
+KeyVerdict KeyGuard::awaitLocal(std::string_view key, KeyVerdict verdict, Millis deadline)
+{
+    while (is<Idempotency::InFlight>(verdict)) {
+        if (Process::steadyNow() >= deadline) {
+            return CannotSay{};
+        }
+        std::this_thread::sleep_for(Process::toChrono(askAgainAfter));
+        const std::lock_guard lock(m_mutex);
+        verdict = m_table.look(key);
+        if (is<RunIt>(verdict)) {
+            // The other attempt truly did not run: this one may.
+            verdict = m_table.begin(key, Process::steadyNow());
+        }
+    }
+    return verdict;
+}
+
+KeyVerdict KeyGuard::enterRepeat(const RepeatedCall &call)
+{
+    auto verdict = claimLocal(call);
+    while (is<Idempotency::InFlight>(verdict) && Process::steadyNow() < call.deadline) {
+        std::this_thread::sleep_for(Process::toChrono(askAgainAfter));
+        verdict = claimLocal(call);
+    }
+    if (!is<RunIt>(verdict)) {
+        return is<Idempotency::InFlight>(verdict) ? CannotSay{} : verdict;
+    }
+    const auto targets = targetsOf(call);
+    if (!targets) {
+        return CannotSay{};
+    }
+    for (const auto &it : *targets) {
+        verdict = askMember(it, call);
+        if (!is<RunIt>(verdict)) {
+            return verdict;
+        }
+    }
+    return enterFirst(call.key, call.deadline);
+}
+
+// An earlier attempt that came here must be covered by this process's own table; one that did not only must not run now.
+KeyVerdict KeyGuard::claimLocal(const RepeatedCall &call)
+{
+    const auto members = m_members();
+    const auto isSelf = [this](const Membership::Member &it) { return it.info.host == m_self; };
+    const auto self = std::find_if(members.begin(), members.end(), isSelf);
+    const bool cameHere = call.previous.empty() || self == members.end()
+        || std::find(call.previous.begin(), call.previous.end(), self->info.entry) != call.previous.end();
+    const std::lock_guard lock(m_mutex);
+    const auto age = cameHere ? call.age.value_or(m_window) : Millis{};
+    return m_table.claim(call.key, m_claimant, age, Process::steadyNow());
+}
+
+// Without a word from the caller any member may have seen the key, those lost within its window included.
+std::optional<std::vector<Membership::Member>> KeyGuard::targetsOf(const RepeatedCall &call) const
+{
+    auto members = m_members();
+    std::sort(members.begin(), members.end(), [](const auto &a, const auto &b) { return a.info.host < b.info.host; });
+    std::vector<Membership::Member> targets;
+    if (call.previous.empty()) {
+        std::copy_if(members.begin(), members.end(), std::back_inserter(targets), [this](const auto &it) { return it.info.host != m_self; });
+        return targets;
+    }
+    for (const auto &address : call.previous) {
+        const auto at = [&](const Membership::Member &it) { return it.info.entry == address; };
+        const auto member = std::find_if(members.begin(), members.end(), at);
+        if (member == members.end()) {
+            return std::nullopt;
+        }
+        if (member->info.host != m_self) {
+            targets.push_back(*member);
+        }
+    }
+    return targets;
+}
+
+KeyVerdict KeyGuard::askMember(const Membership::Member &member, const RepeatedCall &call)
+{
+    if (member.state == MemberState::Dead) {
+        return CannotSay{};
+    }
+    if (member.state == MemberState::Left) {
+        return askHeirs(member, call);
+    }
+    const Net::ClaimKey claim{.key = call.key, .claimant = m_claimant, .age = call.age.value_or(m_window), .gone = {}};
+    auto verdict = askAddress(member.info.peer, claim, call.deadline);
+    const auto *claimed = std::get_if<Idempotency::ClaimedBy>(&verdict);
+    if (claimed == nullptr) {
+        return verdict;
+    }
+    // Whoever has claimed it runs it: its answer is the call's answer.
+    const auto members = m_members();
+    const auto host = claimed->member.substr(0, claimed->member.find(claimantMark));
+    const auto isClaimant = [&](const Membership::Member &it) { return it.info.host == host; };
+    const auto claimant = std::find_if(members.begin(), members.end(), isClaimant);
+    if (claimant == members.end() || claimant->state == MemberState::Dead) {
+        return CannotSay{};
+    }
+    auto answer = askAddress(claimant->info.peer, claim, call.deadline);
+    return is<Idempotency::Answered>(answer) ? answer : KeyVerdict(CannotSay{});
+}
+
+KeyVerdict KeyGuard::askHeirs(const Membership::Member &gone, const RepeatedCall &call)
+{
+    const Net::ClaimKey claim{.key = call.key, .claimant = m_claimant, .age = call.age.value_or(m_window), .gone = gone.info.host};
+    {
+        const std::lock_guard lock(m_mutex);
+        auto verdict = m_table.claimHanded(claim.key, claim.gone, m_claimant, Process::steadyNow());
+        if (!is<CannotSay>(verdict)) {
+            return verdict;
+        }
+    }
+    for (const auto &it : m_members()) {
+        if (it.info.host == m_self || it.state > MemberState::Leaving) {
+            continue;
+        }
+        auto verdict = askAddress(it.info.peer, claim, call.deadline);
+        if (!is<CannotSay>(verdict)) {
+            return verdict;
+        }
+    }
+    return CannotSay{};
+}
+
+KeyVerdict KeyGuard::askAddress(const Membership::Address &address, const Net::ClaimKey &claim, Millis deadline)
+{
+    while (true) {
+        const auto left = deadline - Process::steadyNow();
+        if (left.count <= 0) {
+            return CannotSay{};
+        }
+        const auto reply = Net::askPeer(address, claim, m_peerKey, std::min(left, peerTimeout));
+        const auto *answer = std::get_if<Net::PeerReply>(&reply);
+        const auto *key = answer == nullptr ? nullptr : std::get_if<Net::KeyReply>(answer);
+        if (key == nullptr) {
+            return CannotSay{};
+        }
+        auto verdict = Net::toVerdict(*key);
+        if (!is<Idempotency::InFlight>(verdict)) {
+            return verdict;
+        }
+        std::this_thread::sleep_for(Process::toChrono(askAgainAfter));
+    }
+}
+
+void KeyGuard::finishAnswered(std::string_view key, Idempotency::StoredAnswer answer)
+{
+    const std::lock_guard lock(m_mutex);
+    m_table.finishAnswered(key, std::move(answer), Process::steadyNow());
+}
+
+void KeyGuard::finishNotRun(std::string_view key)
+{
+    const std::lock_guard lock(m_mutex);
+    m_table.finishNotRun(key);
+}
+
+void KeyGuard::finishUnknown(std::string_view key)
+{
+    const std::lock_guard lock(m_mutex);
+    m_table.finishUnknown(key, Process::steadyNow());
+}
+
+KeyVerdict KeyGuard::claimFor(const Net::ClaimKey &claim)
+{
+    if (m_handedOver) {
+        return CannotSay{};
+    }
+    const std::lock_guard lock(m_mutex);
+    const auto now = Process::steadyNow();
+    if (!claim.gone.empty()) {
+        return m_table.claimHanded(claim.key, claim.gone, claim.claimant, now);
+    }
+    return m_table.claim(claim.key, claim.claimant, claim.age, now);
+}
+
+void KeyGuard::adopt(const Net::HandOverKeys &keys)
+{
+    const std::lock_guard lock(m_mutex);
+    m_table.adopt(keys.from, keys.keys, Process::steadyNow());
+}
+
+std::vector<Idempotency::HandedKey> KeyGuard::handOver()
+{
+    m_handedOver = true;
+    const std::lock_guard lock(m_mutex);
+    return m_table.handOver(Process::steadyNow());
+}
+
+void KeyGuard::expire()
+{
+    const std::lock_guard lock(m_mutex);
+    m_table.expire(Process::steadyNow());
+}
+
+std::size_t KeyGuard::size() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_table.size();
+}
+
+std::size_t KeyGuard::bytes() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_table.bytes();
+}
+
+}
--- /dev/null
+++ b/src/daemon/main.cpp
@@ -0,0 +1,119 @@
+// laburnummastd: the daemon that runs on every entry host.
+
+#include "core/config/address.h"
+#include "daemon/daemon.h"
+#include "process/files.h"
+#include "process/log.h"
+#include "process/signals.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <absl/strings/str_cat.h>
+#include <csignal>
+#include <iostream>
+#include <optional>
+
+ABSL_FLAG(std::string, config, "", "settings file (INI); docs/CONFIGURATION.md lists its keys");
+ABSL_FLAG(bool, check, false, "check the settings file and end");
+
+namespace Laburnummast::Daemon
+{
+namespace
+{
+
+constexpr int exitOk = 0;
+constexpr int exitCut = 1;
+constexpr int exitBadSettings = 2;
+constexpr int exitNoAddress = 3;
+constexpr Millis signalStep{200};
+
+struct Loaded
+{
+    Settings settings;
+    DaemonKeys keys;
+};
+
+void complain(const Process::FileError &error)
+{
+    std::cerr << "laburnummastd: " << Process::describe(error) << "\n";
+}
+
+std::optional<std::string> loadKey(const std::string &path)
+{
+    auto key = Process::readKeyFile(path);
+    if (const auto *failure = std::get_if<Process::FileError>(&key)) {
+        complain(*failure);
+        return std::nullopt;
+    }
+    return std::get<std::string>(key);
+}
+
+std::optional<Loaded> load(const std::string &path)
+{
+    const auto text = Process::readFile(path);
+    if (const auto *failure = std::get_if<Process::FileError>(&text)) {
+        complain(*failure);
+        return std::nullopt;
+    }
+    auto settings = parseSettings(std::get<std::string>(text), path);
+    if (const auto *errors = std::get_if<Config::SettingErrors>(&settings)) {
+        for (const auto &it : *errors) {
+            std::cerr << "laburnummastd: " << describe(it) << "\n";
+        }
+        return std::nullopt;
+    }
+    auto &parsed = std::get<Settings>(settings);
+    const auto peer = loadKey(parsed.peerKeyFile);
+    const auto operators = loadKey(parsed.operatorKeyFile);
+    if (!peer || !operators) {
+        return std::nullopt;
+    }
+    return Loaded{.settings = std::move(parsed), .keys = {.peer = *peer, .operators = *operators}};
+}
+
+int run(const Loaded &loaded, const std::string &path)
+{
+    Process::blockSignals();
+    Process::startLog(loaded.settings.host);
+    Daemon daemon(loaded.settings, loaded.keys);
+    if (const auto failure = daemon.start()) {
+        Process::logError("address-not-had", {{"address", Config::toString(*failure)}});
+        return exitNoAddress;
+    }
+    while (!daemon.drainRequested()) {
+        const auto signal = Process::waitForSignal(signalStep);
+        if (signal == SIGHUP) {
+            if (const auto fresh = load(path)) {
+                daemon.reload(fresh->settings, fresh->keys);
+            } else {
+                Process::logError("settings-not-reloaded");
+            }
+        } else if (signal) {
+            break;
+        }
+    }
+    const bool whole = daemon.drain();
+    daemon.stop();
+    Process::logInfo("stopped");
+    return whole ? exitOk : exitCut;
+}
+
+}
+}
+
+int main(int argc, char **argv)
+{
+    absl::SetProgramUsageMessage("laburnummastd --config=FILE: serves callers on one entry host");
+    absl::ParseCommandLine(argc, argv);
+    const auto path = absl::GetFlag(FLAGS_config);
+    const auto loaded = Laburnummast::Daemon::load(path);
+    if (!loaded) {
+        return Laburnummast::Daemon::exitBadSettings;
+    }
+    if (absl::GetFlag(FLAGS_check)) {
+        std::cout << path << ": ok\n";
+        return Laburnummast::Daemon::exitOk;
+    }
+    return Laburnummast::Daemon::run(*loaded, path);
+}
--- /dev/null
+++ b/src/daemon/servicerunner.cpp
@@ -0,0 +1,314 @@
+#include "daemon/servicerunner.h"
+
+#include "daemon/attempt.h"
+#include "process/wallclock.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace Laburnummast::Daemon
+{
+namespace
+{
+
+using Dispatch::Actions;
+
+// Beyond the deadline a call waits this long for the attempt's own report of the timeout.
+constexpr Millis deadlineGrace = 100_ms;
+constexpr double percent = 100;
+
+Dispatch::DispatcherOptions dispatcherOptions(const ServiceRunnerOptions &options, const Config::Service &service, std::string_view name)
+{
+    return {.domain = options.domain,
+            .seed = std::hash<std::string_view>{}(name),
+            .queueLimit = static_cast<std::size_t>(service.queueLimit),
+            .retryShare = static_cast<double>(service.retryPercent) / percent,
+            .hedgeShare = options.hedgeShare,
+            .floors = {0, static_cast<double>(service.normalFloorPercent) / percent, static_cast<double>(service.deferrableFloorPercent) / percent},
+            .targets = {service.urgentTarget, service.normalTarget, service.deferrableTarget},
+            .probesPerSecond = static_cast<double>(options.probesPerSecond),
+            .probeAfter = options.probeAfter};
+}
+
+}
+
+ServiceRunner::ServiceRunner(std::string name, const ServiceRunnerOptions &options, WorkerPool &pool, DrainingHandler onDraining)
+    : m_name(std::move(name))
+    , m_options(options)
+    , m_pool(pool)
+    , m_onDraining(std::move(onDraining))
+    , m_dispatcher(dispatcherOptions(options, Config::Service{}, m_name))
+{
+}
+
+void ServiceRunner::configure(const ServiceView &view)
+{
+    const std::lock_guard lock(m_mutex);
+    m_dispatcher.configure(dispatcherOptions(m_options, view.service, m_name));
+    std::vector<Dispatch::UpstreamSpec> specs;
+    std::map<std::string, std::shared_ptr<UpstreamPort>, std::less<>> ports;
+    for (const auto &it : view.upstreams) {
+        specs.push_back({.name = it.name, .domain = it.upstream.domain, .slots = static_cast<int>(it.upstream.slots)});
+        const Net::Address address{.ip = it.upstream.host, .port = static_cast<std::uint16_t>(it.upstream.port)};
+        const auto present = m_ports.find(it.name);
+        if (present != m_ports.end() && present->second->pool.address() == address) {
+            ports[it.name] = present->second;
+            continue;
+        }
+        const auto share = static_cast<std::size_t>(std::max<std::int64_t>(1, it.upstream.connections / m_options.connectionDaemons));
+        ports[it.name] = std::make_shared<UpstreamPort>(it.name, Net::ConnectionPoolOptions{.address = address, .maxConnections = share});
+    }
+    // Withdrawn upstreams keep their connections while calls are in flight on them.
+    for (const auto &[name, port] : m_ports) {
+        ports.try_emplace(name, port);
+    }
+    m_ports = std::move(ports);
+    Actions actions;
+    m_dispatcher.setUpstreams(specs, Process::steadyNow(), actions);
+    carryOut(actions);
+}
+
+void ServiceRunner::setDispatchers(std::span<const std::string> names, std::string_view self)
+{
+    const std::lock_guard lock(m_mutex);
+    m_dispatcher.setDispatchers(names, self);
+}
+
+void ServiceRunner::setDraining(std::string_view upstream, bool draining)
+{
+    const std::lock_guard lock(m_mutex);
+    m_dispatcher.setDraining(upstream, draining);
+}
+
+std::shared_ptr<UpstreamPort> ServiceRunner::portOf(Dispatch::UpstreamId upstream) const
+{
+    return m_ports.at(m_dispatcher.router().slots()[upstream].spec.name);
+}
+
+CallResult ServiceRunner::run(const std::shared_ptr<CallContext> &call)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_calls[call->request.id] = call;
+        Actions actions;
+        m_dispatcher.submit(call->request, Process::steadyNow(), actions);
+        carryOut(actions);
+    }
+    std::unique_lock lock(call->mutex);
+    const auto ended = [&] { return call->result.has_value(); };
+    if (call->stream != nullptr) {
+        // The attempt reads from the caller's connection: this thread cannot leave before it ends.
+        call->done.wait(lock, ended);
+        return *call->result;
+    }
+    const Millis left = call->request.deadline + deadlineGrace - Process::steadyNow();
+    if (call->done.wait_for(lock, Process::toChrono(left), ended)) {
+        return *call->result;
+    }
+    lock.unlock();
+    return abandon(*call);
+}
+
+CallResult ServiceRunner::abandon(CallContext &call)
+{
+    const std::lock_guard lock(m_mutex);
+    Actions actions;
+    const bool neverSent = m_dispatcher.cancel(call.request.id, Process::steadyNow(), actions);
+    carryOut(actions);
+    m_calls.erase(call.request.id);
+    if (neverSent) {
+        return CallRefused{.reason = Dispatch::RefusalReason::Expired, .retryAfter = 1_s};
+    }
+    const std::lock_guard callLock(call.mutex);
+    return call.result.value_or(CallFinished{.disposition = Dispatch::Disposition::Unknown, .answer = nullptr, .retryAfter = 1_s});
+}
+
+void ServiceRunner::carryOut(const Actions &actions)
+{
+    const auto visitor = Overloaded{
+        [this](const Dispatch::SendAttempt &it) {
+            const auto call = m_calls.find(it.call);
+            if (call != m_calls.end()) {
+                const Job job{.call = call->second, .port = portOf(it.upstream), .attempt = it.attempt};
+                m_pool.post([this, job] { runAttempt(job); });
+            }
+        },
+        [this](const Dispatch::RefuseCall &it) {
+            const auto call = m_calls.find(it.call);
+            if (call != m_calls.end()) {
+                call->second->complete(CallRefused{.reason = it.reason, .retryAfter = it.retryAfter});
+                m_calls.erase(call);
+            }
+        },
+        [this](const Dispatch::FinishCall &it) { finish(it); },
+        [this](const Dispatch::CancelAttempt &it) {
+            const auto call = m_calls.find(it.call);
+            if (call != m_calls.end()) {
+                m_pool.post([port = portOf(it.upstream), id = attemptId(*call->second, it.attempt)] { cancelAttempt(*port, id); });
+            }
+        },
+        [this](const Dispatch::ProbeUpstream &it) {
+            m_pool.post([this, upstream = it.upstream, port = portOf(it.upstream)] { runProbe(upstream, port); });
+        }};
+    for (const auto &it : actions) {
+        std::visit(visitor, it);
+    }
+    // Cancelled attempts still name their call, so finished calls go last.
+    for (const auto &it : actions) {
+        if (const auto *finished = std::get_if<Dispatch::FinishCall>(&it)) {
+            m_calls.erase(finished->call);
+        }
+    }
+}
+
+void ServiceRunner::finish(const Dispatch::FinishCall &action)
+{
+    const auto found = m_calls.find(action.call);
+    if (found == m_calls.end()) {
+        return;
+    }
+    auto &call = *found->second;
+    std::shared_ptr<UpstreamAnswer> answer;
+    std::optional<Net::BodyError> bodyFailure;
+    {
+        const std::lock_guard lock(call.mutex);
+        answer = call.answers[action.attempt];
+        bodyFailure = call.bodyFailure;
+    }
+    if (bodyFailure) {
+        call.complete(CallerBodyFailed{.error = *bodyFailure});
+        return;
+    }
+    call.complete(CallFinished{.disposition = action.disposition, .answer = std::move(answer), .retryAfter = action.retryAfter});
+}
+
+void ServiceRunner::runAttempt(const Job &job)
+{
+    constexpr double microsPerMilli = 1000;
+    const auto started = Process::steadyNow();
+    auto end = performAttempt(*job.call, job.attempt, job.port);
+    const auto now = Process::steadyNow();
+    {
+        const std::lock_guard lock(job.call->mutex);
+        job.call->answers[job.attempt] = std::move(end.answer);
+        job.call->slotMicros += static_cast<std::uint64_t>((now - started).count * microsPerMilli);
+    }
+    bool newlyDraining = false;
+    {
+        const std::lock_guard lock(m_mutex);
+        newlyDraining = end.result.report && end.result.report->draining && !std::exchange(m_toldDraining[job.port->name], true);
+        Actions actions;
+        m_dispatcher.attemptEnded(job.call->request.id, job.attempt, end.result, now, actions);
+        carryOut(actions);
+    }
+    if (newlyDraining) {
+        m_onDraining(m_name, job.port->name);
+    }
+}
+
+void ServiceRunner::runProbe(Dispatch::UpstreamId upstream, const std::shared_ptr<UpstreamPort> &port)
+{
+    const auto end = performProbe(*port);
+    const std::lock_guard lock(m_mutex);
+    if (m_dispatcher.router().slots()[upstream].spec.name != port->name) {
+        return;
+    }
+    m_toldDraining[port->name] = end.healthy && end.report.draining;
+    Actions actions;
+    m_dispatcher.probeEnded(upstream, end.healthy, end.report, Process::steadyNow(), actions);
+    carryOut(actions);
+}
+
+void ServiceRunner::tick()
+{
+    const std::lock_guard lock(m_mutex);
+    Actions actions;
+    m_dispatcher.tick(Process::steadyNow(), actions);
+    carryOut(actions);
+}
+
+void ServiceRunner::tendConnections()
+{
+    std::vector<std::shared_ptr<UpstreamPort>> ports;
+    {
+        const std::lock_guard lock(m_mutex);
+        for (const auto &slot : m_dispatcher.router().slots()) {
+            if (slot.present && !slot.load.draining()) {
+                ports.push_back(m_ports.at(slot.spec.name));
+            }
+        }
+    }
+    // One connection an upstream at a time: each costs it about a millisecond.
+    for (const auto &it : ports) {
+        it->pool.sweep();
+        it->pool.warm(static_cast<std::size_t>(m_options.warmConnections));
+    }
+}
+
+std::size_t ServiceRunner::pending() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_dispatcher.pending();
+}
+
+Dispatch::DispatcherCounters ServiceRunner::counters() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_dispatcher.counters();
+}
+
+nlohmann::json ServiceRunner::dump() const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto now = Process::steadyNow();
+    const auto &router = m_dispatcher.router();
+    const auto &counters = m_dispatcher.counters();
+    nlohmann::json upstreams = nlohmann::json::array();
+    for (const auto &slot : router.slots()) {
+        const auto &load = slot.load;
+        const auto &pool = m_ports.at(slot.spec.name)->pool;
+        const auto connections = pool.counters();
+        upstreams.push_back({{"name", slot.spec.name},
+                             {"domain", slot.spec.domain},
+                             {"present", slot.present},
+                             {"own_part", slot.own},
+                             {"slots", load.slots()},
+                             {"in_flight", load.inFlight()},
+                             {"limit", load.limit()},
+                             {"others_in_flight", load.othersInFlight(now)},
+                             {"slowness", load.slowness(now, router.typicalLatency())},
+                             {"warmth", load.warmth(now)},
+                             {"failure_rate", load.failureRate()},
+                             {"ejected", load.ejected(now)},
+                             {"draining", load.draining()},
+                             {"cost", load.cost(now, router.typicalLatency())},
+                             {"connections",
+                              {{"open", pool.open()},
+                               {"idle", pool.idle()},
+                               {"opened", connections.opened},
+                               {"reused", connections.reused},
+                               {"refused", connections.refused},
+                               {"retired", connections.retired}}}});
+    }
+    nlohmann::json priorities;
+    for (const auto priority : {Priority::Urgent, Priority::Normal, Priority::Deferrable}) {
+        const auto i = indexOf(priority);
+        priorities[std::string(nameOf(priority))] = {{"queued", m_dispatcher.queued(priority)},
+                                                     {"submitted", counters.submitted[i]},
+                                                     {"dispatched", counters.dispatched[i]},
+                                                     {"refused", counters.refused[i]}};
+    }
+    return {{"service", m_name},
+            {"typical_latency_ms", router.typicalLatency().count},
+            {"p95_latency_ms", router.latencyQuantile(0.95).count},
+            {"pending", m_dispatcher.pending()},
+            {"retry_tokens", m_dispatcher.retryTokens()},
+            {"attempts", counters.attempts},
+            {"retries", counters.retries},
+            {"hedges", counters.hedges},
+            {"probes", counters.probes},
+            {"priorities", priorities},
+            {"upstreams", upstreams}};
+}
+
+}
--- /dev/null
+++ b/src/net/connectionpool.cpp
@@ -0,0 +1,130 @@
+#include "net/connectionpool.h"
+
+#include "process/wallclock.h"
+
+#include <algorithm>
+
+namespace Laburnummast::Net
+{
+
+ConnectionPool::ConnectionPool(const ConnectionPoolOptions &options)
+    : m_options(options)
+{
+}
+
+// The most recently used first: the others may idle out when the load is low.
+std::optional<HttpConnection> ConnectionPool::takeIdle(Millis maxIdle)
+{
+    if (m_idle.empty() || Process::steadyNow() - m_idle.back().since > std::min(maxIdle, m_options.maxIdle)) {
+        return std::nullopt;
+    }
+    auto connection = std::move(m_idle.back().connection);
+    m_idle.pop_back();
+    return connection;
+}
+
+Result<ConnectionPool::Lease, LeaseError> ConnectionPool::take(Millis maxIdle)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        if (auto idle = takeIdle(maxIdle)) {
+            ++m_counters.reused;
+            return Lease{.connection = std::move(*idle), .fresh = false};
+        }
+        if (m_open >= m_options.maxConnections && !m_idle.empty()) {
+            m_idle.pop_front();
+            --m_open;
+        }
+        if (m_open >= m_options.maxConnections) {
+            ++m_counters.refused;
+            return LeaseError::PoolFull;
+        }
+        ++m_open;
+        ++m_counters.opened;
+    }
+    auto connection = HttpConnection::connect(m_options.address);
+    if (std::holds_alternative<HttpError>(connection)) {
+        discard();
+        return LeaseError::CannotConnect;
+    }
+    return Lease{.connection = std::move(std::get<HttpConnection>(connection)), .fresh = true};
+}
+
+void ConnectionPool::giveBack(HttpConnection connection)
+{
+    const std::lock_guard lock(m_mutex);
+    const bool suspect = connection.openedAt() <= m_silentBefore;
+    if (!connection.reusable() || suspect) {
+        --m_open;
+        m_counters.retired += suspect ? 1 : 0;
+        return;
+    }
+    m_idle.push_back({.connection = std::move(connection), .since = Process::steadyNow()});
+}
+
+void ConnectionPool::discard()
+{
+    const std::lock_guard lock(m_mutex);
+    --m_open;
+}
+
+void ConnectionPool::retireNoYounger(Millis openedAt)
+{
+    const std::lock_guard lock(m_mutex);
+    m_silentBefore = std::max(m_silentBefore, openedAt);
+    const auto suspect = [&](const Idle &it) { return it.connection.openedAt() <= m_silentBefore; };
+    const auto first = std::remove_if(m_idle.begin(), m_idle.end(), suspect);
+    const auto n = static_cast<std::size_t>(m_idle.end() - first);
+    m_idle.erase(first, m_idle.end());
+    m_open -= n;
+    m_counters.retired += n;
+}
+
+void ConnectionPool::warm(std::size_t wanted)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_open >= std::min(wanted, m_options.maxConnections)) {
+            return;
+        }
+        ++m_open;
+        ++m_counters.opened;
+    }
+    auto connection = HttpConnection::connect(m_options.address);
+    const std::lock_guard lock(m_mutex);
+    if (std::holds_alternative<HttpError>(connection)) {
+        --m_open;
+        return;
+    }
+    m_idle.push_front({.connection = std::move(std::get<HttpConnection>(connection)), .since = Process::steadyNow()});
+}
+
+void ConnectionPool::sweep()
+{
+    const std::lock_guard lock(m_mutex);
+    const auto now = Process::steadyNow();
+    while (!m_idle.empty() && now - m_idle.front().since > m_options.maxIdle) {
+        m_idle.pop_front();
+        --m_open;
+    }
+}
+
+std::size_t ConnectionPool::open() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_open;
+}
+
+std::size_t ConnectionPool::idle() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_idle.size();
+}
+
+ConnectionPoolCounters ConnectionPool::counters() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_counters;
+}
+
+}
--- /dev/null
+++ b/src/net/httpclient.cpp
@@ -0,0 +1,225 @@
+#include "net/httpclient.h"
+
+#include "process/wallclock.h"
+#include "core/text.h"
+
+#include <algorithm>
+#include <array>
+#include <civetweb.h>
+#include <utility>
+
+namespace Laburnummast::Net
+{
+namespace
+{
+
+constexpr std::size_t pieceBytes = 64 << 10;
+constexpr std::size_t errorTextBytes = 256;
+constexpr int statusNoContent = 204;
+constexpr int statusNotModified = 304;
+constexpr int statusOk = 200;
+
+std::string headOf(const ClientRequest &request, const Address &address)
+{
+    std::string head = Text::concat(request.method, " ", request.target, " HTTP/1.1\r\nHost: ", address.ip, ":", address.port, "\r\n");
+    for (const auto &it : request.headers) {
+        Text::append(head, it.name, ": ", it.value, "\r\n");
+    }
+    if (request.streamedLength && *request.streamedLength < 0) {
+        Text::append(head, "Transfer-Encoding: chunked\r\n");
+    } else if (request.streamedLength) {
+        Text::append(head, "Content-Length: ", *request.streamedLength, "\r\n");
+    } else if (!request.body.empty() || request.method != "GET") {
+        Text::append(head, "Content-Length: ", request.body.size(), "\r\n");
+    }
+    Text::append(head, "\r\n");
+    return head;
+}
+
+}
+
+std::string_view nameOf(HttpError error)
+{
+    switch (error) {
+    case HttpError::CannotConnect:
+        return "cannot-connect";
+    case HttpError::WriteFailed:
+        return "write-failed";
+    case HttpError::TimedOut:
+        return "timed-out";
+    case HttpError::BrokenOff:
+        return "broken-off";
+    case HttpError::Malformed:
+        return "malformed";
+    }
+    return "unknown";
+}
+
+std::optional<std::string_view> ResponseHead::header(std::string_view name) const
+{
+    const auto same = [&](const Header &it) { return Text::equalsIgnoreCase(it.name, name); };
+    const auto it = std::find_if(headers.begin(), headers.end(), same);
+    return it == headers.end() ? std::nullopt : std::optional<std::string_view>(it->value);
+}
+
+HttpConnection::HttpConnection(mg_connection *connection, const Address &address)
+    : m_connection(connection)
+    , m_address(address)
+    , m_openedAt(Process::steadyNow())
+{
+}
+
+Result<HttpConnection, HttpError> HttpConnection::connect(const Address &address)
+{
+    std::array<char, errorTextBytes> buf{};
+    auto *connection = mg_connect_client(address.ip.c_str(), address.port, 0, buf.data(), buf.size());
+    if (connection == nullptr) {
+        return HttpError::CannotConnect;
+    }
+    return HttpConnection(connection, address);
+}
+
+HttpConnection::~HttpConnection()
+{
+    if (m_connection != nullptr) {
+        mg_close_connection(m_connection);
+    }
+}
+
+HttpConnection::HttpConnection(HttpConnection &&other) noexcept
+{
+    *this = std::move(other);
+}
+
+HttpConnection &HttpConnection::operator=(HttpConnection &&other) noexcept
+{
+    std::swap(m_connection, other.m_connection);
+    std::swap(m_address, other.m_address);
+    m_openedAt = other.m_openedAt;
+    m_length = other.m_length;
+    m_read = other.m_read;
+    m_bodyless = other.m_bodyless;
+    m_keepAlive = other.m_keepAlive;
+    m_reusable = other.m_reusable;
+    m_exchanges = other.m_exchanges;
+    return *this;
+}
+
+std::optional<HttpError> HttpConnection::sendRequest(const ClientRequest &request)
+{
+    m_reusable = false;
+    ++m_exchanges;
+    m_bodyless = request.method == "HEAD";
+    auto bytes = headOf(request, m_address);
+    bytes += request.body;
+    if (mg_write(m_connection, bytes.data(), bytes.size()) != static_cast<int>(bytes.size())) {
+        return HttpError::WriteFailed;
+    }
+    return std::nullopt;
+}
+
+bool HttpConnection::sendPiece(std::string_view piece, bool chunked)
+{
+    if (piece.empty()) {
+        return true;
+    }
+    if (chunked) {
+        return mg_send_chunk(m_connection, piece.data(), static_cast<unsigned int>(piece.size())) > 0;
+    }
+    return mg_write(m_connection, piece.data(), piece.size()) == static_cast<int>(piece.size());
+}
+
+bool HttpConnection::sendLastPiece()
+{
+    return mg_send_chunk(m_connection, "", 0) >= 0;
+}
+
+Result<ResponseHead, HttpError> HttpConnection::readHead(Millis timeout)
+{
+    std::array<char, errorTextBytes> buf{};
+    const auto started = Process::steadyNow();
+    const int wait = std::max(1, static_cast<int>(timeout.count));
+    if (mg_get_response(m_connection, buf.data(), buf.size(), wait) < 0) {
+        const bool expired = Process::steadyNow() - started >= timeout * 0.95;
+        return expired ? HttpError::TimedOut : HttpError::BrokenOff;
+    }
+    const auto *info = mg_get_response_info(m_connection);
+    if (info == nullptr || info->status_code < statusOk) {
+        return HttpError::Malformed;
+    }
+    ResponseHead head{.status = info->status_code, .headers = {}, .contentLength = std::nullopt};
+    for (int i = 0; i < info->num_headers; ++i) {
+        head.headers.push_back({.name = info->http_headers[i].name, .value = info->http_headers[i].value});
+    }
+    m_bodyless = m_bodyless || head.status == statusNoContent || head.status == statusNotModified;
+    if (m_bodyless) {
+        head.contentLength = 0;
+    } else if (info->content_length >= 0) {
+        head.contentLength = info->content_length;
+    }
+    m_length = head.contentLength;
+    m_read = 0;
+    const auto connection = head.header("Connection");
+    m_keepAlive = !connection || !Text::equalsIgnoreCase(*connection, "close");
+    const bool selfDelimiting = m_length || head.header("Transfer-Encoding");
+    m_keepAlive = m_keepAlive && selfDelimiting;
+    m_reusable = m_keepAlive && m_length == 0;
+    return head;
+}
+
+std::int64_t HttpConnection::read(std::span<char> buf)
+{
+    if (m_length && m_read >= *m_length) {
+        m_reusable = m_keepAlive;
+        return 0;
+    }
+    const int n = mg_read(m_connection, buf.data(), buf.size());
+    if (n > 0) {
+        m_read += n;
+        m_reusable = m_keepAlive && m_length && m_read >= *m_length;
+        return n;
+    }
+    if (m_length) {
+        return -1;
+    }
+    m_reusable = n == 0 && m_keepAlive;
+    return n;
+}
+
+Result<ClientResponse, HttpError> HttpConnection::exchange(const ClientRequest &request, Millis timeout, std::size_t maxBody)
+{
+    if (const auto failure = sendRequest(request)) {
+        return *failure;
+    }
+    auto head = readHead(timeout);
+    if (const auto *failure = std::get_if<HttpError>(&head)) {
+        return *failure;
+    }
+    ClientResponse response{.head = std::move(std::get<ResponseHead>(head)), .body = {}};
+    std::array<char, pieceBytes> buf;
+    while (true) {
+        const auto n = read(buf);
+        if (n < 0) {
+            return HttpError::BrokenOff;
+        }
+        if (n == 0) {
+            return response;
+        }
+        response.body.append(buf.data(), static_cast<std::size_t>(n));
+        if (response.body.size() > maxBody) {
+            m_reusable = false;
+            return HttpError::Malformed;
+        }
+    }
+}
+
+Result<ClientResponse, HttpError> fetch(const Address &address, const ClientRequest &request, Millis timeout, std::size_t maxBody)
+{
+    auto connection = HttpConnection::connect(address);
+    if (const auto *failure = std::get_if<HttpError>(&connection)) {
+        return *failure;
+    }
+    return std::get<HttpConnection>(connection).exchange(request, timeout, maxBody);
+}
+
+}
--- /dev/null
+++ b/src/net/peerclient.cpp
@@ -0,0 +1,122 @@
+#include "net/peerclient.h"
+
+#include "process/wallclock.h"
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <array>
+#include <chrono>
+
+namespace Laburnummast::Net
+{
+namespace
+{
+
+namespace Asio = boost::asio;
+using Tcp = Asio::ip::tcp;
+
+// One exchange as a chain of callbacks under one time limit.
+class Exchange
+{
+public:
+    Exchange(const Membership::Address &address, const PeerRequest &request, std::string_view key)
+        : m_address(address)
+        , m_request(request)
+        , m_key(key)
+        , m_socket(m_context)
+    {
+    }
+
+    Result<PeerReply, PeerError> run(Millis timeout)
+    {
+        boost::system::error_code ec;
+        const auto ip = Asio::ip::make_address(m_address.ip, ec);
+        if (ec) {
+            return PeerError::CannotConnect;
+        }
+        m_socket.async_connect({ip, m_address.port}, [this](const auto &failure) { connected(failure); });
+        m_context.run_for(std::chrono::duration_cast<std::chrono::microseconds>(Process::toChrono(timeout)));
+        return m_result;
+    }
+
+private:
+    void connected(const boost::system::error_code &ec)
+    {
+        if (ec) {
+            m_result = PeerError::CannotConnect;
+            return;
+        }
+        m_nonce.resize(nonceBytes);
+        Asio::async_read(m_socket, Asio::buffer(m_nonce), [this](const auto &failure, std::size_t) { greeted(failure); });
+    }
+
+    void greeted(const boost::system::error_code &ec)
+    {
+        if (failed(ec)) {
+            return;
+        }
+        m_frame = encodeFrame(m_request, m_key, m_nonce);
+        Asio::async_write(m_socket, Asio::buffer(m_frame), [this](const auto &failure, std::size_t) { sent(failure); });
+    }
+
+    void sent(const boost::system::error_code &ec)
+    {
+        if (failed(ec)) {
+            return;
+        }
+        Asio::async_read(m_socket, Asio::buffer(m_header), [this](const auto &failure, std::size_t) { announced(failure); });
+    }
+
+    void announced(const boost::system::error_code &ec)
+    {
+        if (failed(ec)) {
+            return;
+        }
+        const auto length = frameLength({m_header.data(), m_header.size()});
+        if (length > maxFrameBytes) {
+            m_result = PeerError::TooLong;
+            return;
+        }
+        m_payload.resize(length);
+        Asio::async_read(m_socket, Asio::buffer(m_payload), [this](const auto &failure, std::size_t) { answered(failure); });
+    }
+
+    void answered(const boost::system::error_code &ec)
+    {
+        if (!failed(ec)) {
+            m_result = decodeReply(m_payload, m_key, m_nonce);
+        }
+    }
+
+    bool failed(const boost::system::error_code &ec)
+    {
+        if (ec) {
+            m_result = PeerError::TimedOut;
+        }
+        return static_cast<bool>(ec);
+    }
+
+    const Membership::Address &m_address;
+    const PeerRequest &m_request;
+    std::string_view m_key;
+    Asio::io_context m_context;
+    Tcp::socket m_socket;
+    std::string m_nonce;
+    std::string m_frame;
+    std::array<char, frameHeaderBytes> m_header{};
+    std::string m_payload;
+    Result<PeerReply, PeerError> m_result = PeerError::TimedOut;
+};
+
+}
+
+Result<PeerReply, PeerError>
+askPeer(const Membership::Address &address, const PeerRequest &request, std::string_view key, Millis timeout)
+{
+    return Exchange(address, request, key).run(timeout);
+}
+
+}
--- /dev/null
+++ b/src/net/peerserver.cpp
@@ -0,0 +1,224 @@
+#include "net/peerserver.h"
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <chrono>
+#include <memory>
+#include <openssl/rand.h>
+
+namespace Laburnummast::Net
+{
+namespace
+{
+
+namespace Asio = boost::asio;
+using Udp = Asio::ip::udp;
+using Tcp = Asio::ip::tcp;
+
+constexpr int maxSessions = 128;
+constexpr std::chrono::seconds sessionLimit(5);
+
+}
+
+// One accepted connection: nonce out, one request in, one reply out, end.
+class PeerServer::Session : public std::enable_shared_from_this<PeerServer::Session>
+{
+public:
+    Session(PeerServer &server, Tcp::socket socket)
+        : m_server(server)
+        , m_socket(std::move(socket))
+        , m_timer(m_socket.get_executor())
+        , m_sessions(server.m_sessions)
+    {
+        ++*m_sessions;
+    }
+
+    ~Session()
+    {
+        --*m_sessions;
+    }
+
+    Session(const Session &) = delete;
+    Session &operator=(const Session &) = delete;
+
+    void start()
+    {
+        m_nonce.resize(nonceBytes);
+        RAND_bytes(reinterpret_cast<unsigned char *>(m_nonce.data()), static_cast<int>(m_nonce.size()));
+        m_timer.expires_after(sessionLimit);
+        m_timer.async_wait([self = shared_from_this()](const auto &ec) {
+            if (!ec) {
+                self->m_socket.close();
+            }
+        });
+        Asio::async_write(m_socket, Asio::buffer(m_nonce), [self = shared_from_this()](const auto &ec, std::size_t) { self->greeted(ec); });
+    }
+
+private:
+    void greeted(const boost::system::error_code &ec)
+    {
+        if (ended(ec)) {
+            return;
+        }
+        Asio::async_read(m_socket, Asio::buffer(m_header), [self = shared_from_this()](const auto &failure, std::size_t) {
+            self->announced(failure);
+        });
+    }
+
+    void announced(const boost::system::error_code &ec)
+    {
+        if (ended(ec)) {
+            return;
+        }
+        const auto length = frameLength({m_header.data(), m_header.size()});
+        if (length > maxFrameBytes) {
+            ++m_server.m_counters.badFrames;
+            m_timer.cancel();
+            return;
+        }
+        m_left = length;
+        readMore();
+    }
+
+    // Grows with what has come, so that an announced length alone takes no memory.
+    void readMore()
+    {
+        constexpr std::size_t step = 64 << 10;
+        if (m_left == 0) {
+            handle();
+            return;
+        }
+        const auto n = std::min(m_left, step);
+        const auto had = m_payload.size();
+        m_payload.resize(had + n);
+        m_left -= n;
+        Asio::async_read(m_socket, Asio::buffer(m_payload.data() + had, n), [self = shared_from_this()](const auto &ec, std::size_t) {
+            if (!self->ended(ec)) {
+                self->readMore();
+            }
+        });
+    }
+
+    void handle()
+    {
+        auto request = decodeRequest(m_payload, m_server.m_key, m_nonce);
+        if (std::holds_alternative<PeerError>(request)) {
+            ++m_server.m_counters.badFrames;
+            m_timer.cancel();
+            return;
+        }
+        m_server.m_counters.bytesIn += m_payload.size();
+        m_payload = encodeFrame(m_server.m_onRequest(std::get<PeerRequest>(request)), m_server.m_key, m_nonce);
+        m_server.m_counters.bytesOut += m_payload.size();
+        Asio::async_write(m_socket, Asio::buffer(m_payload), [self = shared_from_this()](const auto &, std::size_t) {
+            self->m_timer.cancel();
+        });
+    }
+
+    bool ended(const boost::system::error_code &ec)
+    {
+        if (ec) {
+            m_timer.cancel();
+        }
+        return static_cast<bool>(ec);
+    }
+
+    PeerServer &m_server;
+    Tcp::socket m_socket;
+    Asio::steady_timer m_timer;
+    std::shared_ptr<int> m_sessions;
+    std::string m_nonce;
+    std::array<char, frameHeaderBytes> m_header{};
+    std::string m_payload;
+    std::size_t m_left = 0;
+};
+
+PeerServer::PeerServer(Asio::io_context &context, std::string key)
+    : m_key(std::move(key))
+    , m_datagrams(context)
+    , m_acceptor(context)
+{
+}
+
+std::optional<Membership::Address>
+PeerServer::start(const Membership::Address &address, MessageHandler onMessage, RequestHandler onRequest)
+{
+    m_onMessage = std::move(onMessage);
+    m_onRequest = std::move(onRequest);
+    try {
+        const auto ip = Asio::ip::make_address(address.ip);
+        m_datagrams.open(ip.is_v6() ? Udp::v6() : Udp::v4());
+        m_datagrams.bind({ip, address.port});
+        m_datagrams.non_blocking(true);
+        m_acceptor.open(ip.is_v6() ? Tcp::v6() : Tcp::v4());
+        m_acceptor.set_option(Tcp::acceptor::reuse_address(true));
+        m_acceptor.bind({ip, address.port});
+        m_acceptor.listen();
+    } catch (const boost::system::system_error &) {
+        return address;
+    }
+    receive();
+    accept();
+    return std::nullopt;
+}
+
+void PeerServer::stop()
+{
+    boost::system::error_code ec;
+    m_datagrams.close(ec);
+    m_acceptor.close(ec);
+}
+
+void PeerServer::receive()
+{
+    m_datagrams.async_receive_from(Asio::buffer(m_buf), m_sender, [this](const auto &ec, std::size_t n) {
+        if (ec == Asio::error::operation_aborted || !m_datagrams.is_open()) {
+            return;
+        }
+        if (!ec) {
+            received(n);
+        }
+        receive();
+    });
+}
+
+void PeerServer::received(std::size_t n)
+{
+    ++m_counters.datagramsIn;
+    m_counters.bytesIn += n;
+    const auto message = Membership::decode({m_buf.data(), n}, m_key);
+    if (const auto *failure = std::get_if<Membership::MessageError>(&message)) {
+        ++m_counters.badDatagrams[static_cast<std::size_t>(*failure)];
+        return;
+    }
+    m_onMessage(std::get<Membership::Message>(message), {.ip = m_sender.address().to_string(), .port = m_sender.port()});
+}
+
+void PeerServer::accept()
+{
+    m_acceptor.async_accept([this](const auto &ec, Tcp::socket socket) {
+        if (ec == Asio::error::operation_aborted || !m_acceptor.is_open()) {
+            return;
+        }
+        if (!ec && *m_sessions < maxSessions) {
+            std::make_shared<Session>(*this, std::move(socket))->start();
+        }
+        accept();
+    });
+}
+
+void PeerServer::send(const Membership::Address &to, const Membership::Message &message)
+{
+    boost::system::error_code ec;
+    const auto ip = Asio::ip::make_address(to.ip, ec);
+    if (ec) {
+        return;
+    }
+    const auto bytes = Membership::encode(message, m_key);
+    ++m_counters.datagramsOut;
+    m_counters.bytesOut += bytes.size();
+    m_datagrams.send_to(Asio::buffer(bytes), {ip, to.port}, 0, ec);
+}
+
+}
--- /dev/null
+++ b/src/net/peerserver.h
@@ -0,0 +1,72 @@
+#ifndef LABURNUMMAST_NET_PEERSERVER_H
+#define LABURNUMMAST_NET_PEERSERVER_H
+
+#include "core/membership/message.h"
+#include "net/peermessage.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <array>
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace Laburnummast::Net
+{
+
+/// Counts of what came to the peer port and was not served.
+struct PeerServerCounters
+{
+    std::array<std::atomic<std::uint64_t>, Membership::messageErrorCount> badDatagrams{};
+    std::atomic<std::uint64_t> badFrames = 0;
+    std::atomic<std::uint64_t> datagramsIn = 0;
+    std::atomic<std::uint64_t> datagramsOut = 0;
+    std::atomic<std::uint64_t> bytesIn = 0;
+    std::atomic<std::uint64_t> bytesOut = 0;
+};
+
+/// The peer port of a process: datagrams of the membership and requests over TCP, on the control thread.
+class PeerServer
+{
+public:
+    using MessageHandler = std::function<void(const Membership::Message &, const Membership::Address &)>;
+    using RequestHandler = std::function<PeerReply(const PeerRequest &)>;
+
+    PeerServer(boost::asio::io_context &context, std::string key);
+
+    /// Starts listening; the failure, if any, is the address.
+    std::optional<Membership::Address> start(const Membership::Address &address, MessageHandler onMessage, RequestHandler onRequest);
+    void send(const Membership::Address &to, const Membership::Message &message);
+    void stop();
+
+    const PeerServerCounters &counters() const
+    {
+        return m_counters;
+    }
+
+private:
+    class Session;
+
+    void receive();
+    void received(std::size_t n);
+    void accept();
+
+    std::string m_key;
+    boost::asio::ip::udp::socket m_datagrams;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    boost::asio::ip::udp::endpoint m_sender;
+    std::array<char, 2 * Membership::maxDatagramBytes> m_buf{};
+    MessageHandler m_onMessage;
+    RequestHandler m_onRequest;
+    PeerServerCounters m_counters;
+    // Shared: a session may outlive the server until its last callback is dropped.
+    std::shared_ptr<int> m_sessions = std::make_shared<int>(0);
+};
+
+}
+
+#endif
--- /dev/null
+++ b/src/process/log.h
@@ -0,0 +1,27 @@
+#ifndef LABURNUMMAST_PROCESS_LOG_H
+#define LABURNUMMAST_PROCESS_LOG_H
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+namespace Laburnummast::Process
+{
+
+/// One named value of a log line.
+struct LogField
+{
+    std::string_view key;
+    std::string value;
+};
+
+/// Sends log lines to standard error; each carries the time, the level, the process's name and an event.
+void startLog(std::string_view processName);
+
+void logInfo(std::string_view event, std::initializer_list<LogField> fields = {});
+void logWarning(std::string_view event, std::initializer_list<LogField> fields = {});
+void logError(std::string_view event, std::initializer_list<LogField> fields = {});
+
+}
+
+#endif
