--- a/src/cli/client.cpp
+++ b/src/cli/client.cpp
@@ -1,8 +1,8 @@
 #include "cli/client.h"
 
 #include "core/config/address.h"
-#include "process/files.h"
 #include "core/text.h"
+#include "process/files.h"
 
 #include <absl/flags/flag.h>
 #include <algorithm>
@@ -91,10 +91,8 @@
 
 std::optional<Answer> post(const Net::Address &address, const std::string &target, std::string_view body, const std::string &key)
 {
-    const Net::ClientRequest request{.method = "POST",
-                                     .target = target,
-                                     .headers = {{.name = "Authorization", .value = "Bearer " + key}},
-                                     .body = body};
+    const Net::ClientRequest request{
+        .method = "POST", .target = target, .headers = {{.name = "Authorization", .value = "Bearer " + key}}, .body = body};
     return ask(address, request, postTimeout);
 }
 
@@ -132,7 +130,8 @@
     for (const auto &it : answer->json["members"]) {
         const auto admin = Config::parseAddress(it.value("admin", ""));
         if (admin) {
-            daemons.push_back({.host = it.value("host", ""), .domain = it.value("domain", ""), .state = it.value("state", ""), .admin = *admin});
+            daemons.push_back(
+                {.host = it.value("host", ""), .domain = it.value("domain", ""), .state = it.value("state", ""), .admin = *admin});
         }
     }
     std::sort(daemons.begin(), daemons.end(), [](const DaemonRef &a, const DaemonRef &b) { return a.host < b.host; });
--- a/src/cli/hostcommands.cpp
+++ b/src/cli/hostcommands.cpp
@@ -52,7 +52,8 @@
             upstreams += upstream != nullptr && upstream->service == key.name ? 1 : 0;
             routes += route != nullptr && route->service == key.name ? 1 : 0;
         }
-        list.push_back({{"service", key.name}, {"owner", service->owner}, {"revision", value.revision}, {"upstreams", upstreams}, {"routes", routes}});
+        list.push_back(
+            {{"service", key.name}, {"owner", service->owner}, {"revision", value.revision}, {"upstreams", upstreams}, {"routes", routes}});
     }
     if (wantsJson()) {
         std::cout << list.dump(2) << "\n";
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -21,13 +21,21 @@
 constexpr std::array<Command, 9> commandTable{{
     {"check", "NOTE", "checks a release note's form without a daemon", 1, checkNote},
     {"plan", "DECLARATIONS", "writes the note that takes what is in force to the declarations (--daemon, --id, --author)", 1, planNote},
-    {"publish", "NOTE", "publishes a note and waits until it is in force on every live daemon (--daemon, --key_file, --wait_s)", 1, publishNote},
+    {"publish",
+     "NOTE",
+     "publishes a note and waits until it is in force on every live daemon (--daemon, --key_file, --wait_s)",
+     1,
+     publishNote},
     {"notes", "", "lists the notes and their verdicts (--daemon)", 0, listNotes},
     {"services", "", "lists the services in force (--daemon)", 0, listServices},
     {"status", "", "shows every daemon's state and configuration (--daemon)", 0, showStatus},
     {"state", "HOST", "dumps one daemon's state as JSON (--daemon)", 1, showState},
     {"drain", "HOST", "drains a daemon, which then ends (--daemon, --key_file)", 1, drainHost},
-    {"usage", "[live|report|verify]", "use by owner: as the daemons hold it (--daemon), by day or verified from the log (--log)", anyCount, reportUsage},
+    {"usage",
+     "[live|report|verify]",
+     "use by owner: as the daemons hold it (--daemon), by day or verified from the log (--log)",
+     anyCount,
+     reportUsage},
 }};
 
 std::string overview()
@@ -37,8 +45,8 @@
         Text::append(text, absl::StrFormat("  %-9s %-21s %s\n", it.name, it.arguments, it.brief));
     }
     Text::append(text,
-                    "\nflags: --daemon=IP:PORT --log=IP:PORT --key_file=FILE --format=text|json\n"
-                    "exit codes: 0 ok, 1 refused, 2 usage, 3 unreachable, 4 denied\n");
+                 "\nflags: --daemon=IP:PORT --log=IP:PORT --key_file=FILE --format=text|json\n"
+                 "exit codes: 0 ok, 1 refused, 2 usage, 3 unreachable, 4 denied\n");
     return text;
 }
 
@@ -69,7 +77,8 @@
 ExitCode run(const std::vector<char *> &words)
 {
     const auto *command = words.size() > 1 ? findCommand(words[1]) : nullptr;
-    const std::vector<std::string> arguments(words.begin() + std::min<std::ptrdiff_t>(2, static_cast<std::ptrdiff_t>(words.size())), words.end());
+    const std::vector<std::string> arguments(words.begin() + std::min<std::ptrdiff_t>(2, static_cast<std::ptrdiff_t>(words.size())),
+                                             words.end());
     if (command == nullptr) {
         std::cerr << overview();
         return ExitCode::Usage;
--- a/src/cli/notecommands.cpp
+++ b/src/cli/notecommands.cpp
@@ -1,8 +1,8 @@
 // Commands about release notes: check, plan, publish, notes.
 
 #include "cli/client.h"
-#include "process/wallclock.h"
 #include "core/text.h"
+#include "process/wallclock.h"
 
 #include <absl/flags/flag.h>
 #include <absl/strings/str_format.h>
@@ -35,7 +35,9 @@
 void printFailure(const Config::NoteFailure &failure)
 {
     std::visit(Overloaded{[](const Config::SettingErrors &it) { printErrors(it); },
-                          [](const Config::FutureFormat &it) { complain(Text::concat("note format ", it.format, " is later than this build knows")); }},
+                          [](const Config::FutureFormat &it) {
+                              complain(Text::concat("note format ", it.format, " is later than this build knows"));
+                          }},
                failure);
 }
 
@@ -95,7 +97,8 @@
         }
         return ExitCode::Usage;
     default:
-        complain(Text::concat("no verdict: ", answer.json.is_object() ? answer.json.value("failure", "unknown") : "unknown",
+        complain(Text::concat("no verdict: ",
+                              answer.json.is_object() ? answer.json.value("failure", "unknown") : "unknown",
                               "; publish the same note again: its id keeps it from taking effect twice"));
         return ExitCode::Unreachable;
     }
@@ -177,7 +180,8 @@
     if (wantsJson()) {
         std::cout << nlohmann::json{{"offset", offset}, {"in_force_ms", took.count}, {"missing", missing}}.dump() << "\n";
     } else {
-        std::cout << absl::StrFormat("accepted at offset %d; in force %s after %.0f ms\n", offset, missing.empty() ? "everywhere" : "not everywhere", took.count);
+        std::cout << absl::StrFormat(
+            "accepted at offset %d; in force %s after %.0f ms\n", offset, missing.empty() ? "everywhere" : "not everywhere", took.count);
     }
     for (const auto &it : missing) {
         complain(Text::concat("not in force on ", it));
@@ -201,9 +205,11 @@
         return ExitCode::Ok;
     }
     for (const auto &it : answer->json["notes"]) {
-        std::cout << absl::StrFormat("%8d  %-9s  %-32s %s\n", it.value("offset", 0), it.value("verdict", ""), it.value("id", ""), it.value("author", ""));
+        std::cout << absl::StrFormat(
+            "%8d  %-9s  %-32s %s\n", it.value("offset", 0), it.value("verdict", ""), it.value("id", ""), it.value("author", ""));
         for (const auto &reason : it.value("reasons", nlohmann::json::array())) {
-            std::cout << "          " << reason.value("entity", "") << ": " << reason.value("kind", "") << ": " << reason.value("detail", "") << "\n";
+            std::cout << "          " << reason.value("entity", "") << ": " << reason.value("kind", "") << ": "
+                      << reason.value("detail", "") << "\n";
         }
     }
     return ExitCode::Ok;
--- a/src/cli/usagecommands.cpp
+++ b/src/cli/usagecommands.cpp
@@ -1,9 +1,9 @@
 // Commands about usage: report, verify.
 
 #include "cli/client.h"
+#include "core/text.h"
 #include "core/usage/usagechain.h"
 #include "net/logclient.h"
-#include "core/text.h"
 
 #include <absl/strings/str_format.h>
 #include <iostream>
@@ -30,7 +30,15 @@
 
 void printTable(const Usage::UsageTable &table)
 {
-    std::cout << absl::StrFormat("%-14s %-24s %-16s %10s %10s %12s %14s %14s\n", "owner", "partner", "service", "calls", "refused", "slot s", "bytes in", "bytes out");
+    std::cout << absl::StrFormat("%-14s %-24s %-16s %10s %10s %12s %14s %14s\n",
+                                 "owner",
+                                 "partner",
+                                 "service",
+                                 "calls",
+                                 "refused",
+                                 "slot s",
+                                 "bytes in",
+                                 "bytes out");
     for (const auto &[key, it] : table) {
         std::cout << absl::StrFormat("%-14s %-24s %-16s %10d %10d %12.2f %14d %14d\n",
                                      key.owner,
@@ -86,7 +94,8 @@
         }
         for (const auto &it : answer->json["usage"]) {
             const Usage::UsageSource source{.host = it.value("host", ""), .incarnation = it.value("incarnation", std::uint64_t{0})};
-            const Usage::UsageKey key{.owner = it.value("owner", ""), .partner = it.value("partner", ""), .service = it.value("service", "")};
+            const Usage::UsageKey key{
+                .owner = it.value("owner", ""), .partner = it.value("partner", ""), .service = it.value("service", "")};
             sources[source][key].mergeMaximum({.calls = it.value("calls", std::uint64_t{0}),
                                                .refused = it.value("refused", std::uint64_t{0}),
                                                .slotMicros = it.value("slot_micros", std::uint64_t{0}),
@@ -143,10 +152,12 @@
 ExitCode verify(const Usage::UsageAudit &audit)
 {
     for (const auto &it : audit.faults()) {
-        std::cerr << absl::StrFormat("offset %d: %s in the chain of %s/%d at %d\n", it.offset, nameOf(it.kind), it.writer.host, it.writer.incarnation, it.sequence);
+        std::cerr << absl::StrFormat(
+            "offset %d: %s in the chain of %s/%d at %d\n", it.offset, nameOf(it.kind), it.writer.host, it.writer.incarnation, it.sequence);
     }
     if (wantsJson()) {
-        std::cout << nlohmann::json{{"records", audit.records()}, {"repeats", audit.repeats()}, {"faults", audit.faults().size()}}.dump() << "\n";
+        std::cout << nlohmann::json{{"records", audit.records()}, {"repeats", audit.repeats()}, {"faults", audit.faults().size()}}.dump()
+                  << "\n";
     } else {
         printTable(audit.total());
         std::cout << absl::StrFormat("%d records, %d repeats, %d faults\n", audit.records(), audit.repeats(), audit.faults().size());
--- a/src/core/admission/fairqueue.cpp
+++ b/src/core/admission/fairqueue.cpp
@@ -5,13 +5,17 @@
 namespace Laburnummast::Admission
 {
 
+FairQueue::FairQueue(FlowClock &clock)
+    : m_clock(clock)
+{
+}
+
 FairQueue::Flow &FairQueue::activate(FlowId flow, double weight)
 {
     auto &it = m_flows[flow];
     it.weight = weight;
     if (it.calls.empty()) {
-        // A flow that was idle has not saved up service.
-        it.virtualTime = std::max(it.virtualTime, m_virtualTime);
+        m_clock.activate(flow);
     }
     return it;
 }
@@ -33,21 +37,27 @@
     ++m_size;
 }
 
-std::optional<QueuedCall> FairQueue::pop(ServeOrder order)
+std::optional<FlowId> FairQueue::nextFlow() const
 {
-    Flow *next = nullptr;
-    for (auto &[id, flow] : m_flows) {
-        if (!flow.calls.empty() && (next == nullptr || flow.virtualTime < next->virtualTime)) {
-            next = &flow;
+    std::optional<FlowId> next;
+    for (const auto &[id, flow] : m_flows) {
+        if (!flow.calls.empty() && (!next || m_clock.served(id) < m_clock.served(*next))) {
+            next = id;
         }
     }
-    if (next == nullptr) {
+    return next;
+}
+
+std::optional<QueuedCall> FairQueue::pop(ServeOrder order)
+{
+    const auto next = nextFlow();
+    if (!next) {
         return std::nullopt;
     }
-    m_virtualTime = next->virtualTime;
-    next->virtualTime += 1 / next->weight;
+    auto &flow = m_flows[*next];
+    m_clock.charge(*next, flow.weight);
     --m_size;
-    auto &calls = next->calls;
+    auto &calls = flow.calls;
     if (order == ServeOrder::OldestFirst) {
         const auto call = calls.front();
         calls.pop_front();
--- a/src/core/admission/fairqueue.h
+++ b/src/core/admission/fairqueue.h
@@ -1,6 +1,7 @@
 #ifndef LABURNUMMAST_CORE_ADMISSION_FAIRQUEUE_H
 #define LABURNUMMAST_CORE_ADMISSION_FAIRQUEUE_H
 
+#include "core/admission/flowclock.h"
 #include "core/millis.h"
 
 #include <cstddef>
@@ -14,9 +15,6 @@
 {
 
 using CallId = std::uint64_t;
-/// Stands for one partner of one owner.
-using FlowId = std::uint32_t;
-
 /// A call that waits at the entry.
 struct QueuedCall
 {
@@ -32,15 +30,19 @@
     NewestFirst,
 };
 
-/// Calls of one priority, shared out among flows by weight (start-time fair queueing).
+/// Calls of one priority; the flow goes first that has had the least service in proportion to its weight.
 class FairQueue
 {
 public:
+    explicit FairQueue(FlowClock &clock);
+
     void push(FlowId flow, double weight, const QueuedCall &call);
     /// Puts a call back where it is served first within its flow.
     void pushNext(FlowId flow, double weight, const QueuedCall &call, ServeOrder order);
     /// Takes the next call of the flow that is most behind its share.
     std::optional<QueuedCall> pop(ServeOrder order);
+    /// The flow that `pop` would serve.
+    std::optional<FlowId> nextFlow() const;
     /// Takes the oldest call of the flow that waits for the most in proportion to its weight.
     std::optional<QueuedCall> dropFromLongest();
     /// Takes every call that has expired.
@@ -65,14 +67,13 @@
     struct Flow
     {
         double weight = 1;
-        double virtualTime = 0;
         std::deque<QueuedCall> calls;
     };
 
     Flow &activate(FlowId flow, double weight);
 
+    FlowClock &m_clock;
     std::map<FlowId, Flow> m_flows;
-    double m_virtualTime = 0;
     std::size_t m_size = 0;
 };
 
--- a/src/core/config/configstate.cpp
+++ b/src/core/config/configstate.cpp
@@ -2,11 +2,11 @@
 
 #include "core/text.h"
 
+#include <algorithm>
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/deque.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
-#include <algorithm>
 #include <set>
 #include <sstream>
 #include <xxhash.h>
@@ -65,7 +65,7 @@
     Offset revision = noOffset;
     std::vector<FieldText> fields;
 
-    template<class Archive>
+    template <class Archive>
     void serialize(Archive &archive)
     {
         archive(key, revision, fields);
@@ -80,7 +80,7 @@
     std::vector<EntityRecord> entities;
     std::deque<NoteOutcome> outcomes;
 
-    template<class Archive>
+    template <class Archive>
     void serialize(Archive &archive)
     {
         archive(offset, revision, hash, entities, outcomes);
--- a/src/core/config/configstate.h
+++ b/src/core/config/configstate.h
@@ -41,7 +41,7 @@
     EntityKey key;
     std::string detail;
 
-    template<class Archive>
+    template <class Archive>
     void serialize(Archive &archive)
     {
         archive(kind, key, detail);
@@ -85,7 +85,7 @@
     bool accepted = false;
     std::vector<Rejection> reasons;
 
-    template<class Archive>
+    template <class Archive>
     void serialize(Archive &archive)
     {
         archive(id, author, offset, accepted, reasons);
--- a/src/core/config/entity.cpp
+++ b/src/core/config/entity.cpp
@@ -18,7 +18,7 @@
     {
     }
 
-    template<class... Arguments>
+    template <class... Arguments>
     void field(std::string_view key, Arguments &&...arguments)
     {
         m_reader.field(key, std::forward<Arguments>(arguments)...);
@@ -85,7 +85,7 @@
     std::vector<FieldText> &m_fields;
 };
 
-template<class T>
+template <class T>
 Entity readAs(SectionReader &reader)
 {
     T value;
@@ -123,11 +123,7 @@
 {
     std::vector<FieldText> fields;
     EntityWriter writer(fields);
-    std::visit(
-        [&](auto value) {
-            value.visitFields(writer);
-        },
-        entity);
+    std::visit([&](auto value) { value.visitFields(writer); }, entity);
     return fields;
 }
 
--- a/src/core/config/entity.h
+++ b/src/core/config/entity.h
@@ -21,7 +21,7 @@
     std::string display;
     std::int64_t weight = 1;
 
-    template<class Visitor>
+    template <class Visitor>
     void visitFields(Visitor &visitor)
     {
         visitor.field("display", display, Presence::Optional);
@@ -36,7 +36,7 @@
     std::string credentialSha256;
     std::int64_t weight = 1;
 
-    template<class Visitor>
+    template <class Visitor>
     void visitFields(Visitor &visitor)
     {
         visitor.field("owner", owner, Presence::Required);
@@ -58,7 +58,7 @@
     std::int64_t normalFloorPercent = 7;
     std::int64_t deferrableFloorPercent = 3;
 
-    template<class Visitor>
+    template <class Visitor>
     void visitFields(Visitor &visitor)
     {
         constexpr Range targetRange{1, 600000};
@@ -85,7 +85,7 @@
     std::int64_t slots = 3;
     std::int64_t connections = 250;
 
-    template<class Visitor>
+    template <class Visitor>
     void visitFields(Visitor &visitor)
     {
         visitor.field("service", service, Presence::Required);
@@ -108,7 +108,7 @@
     Millis deadline{2000};
     std::int64_t maxBodyBytes = 1 << 20;
 
-    template<class Visitor>
+    template <class Visitor>
     void visitFields(Visitor &visitor)
     {
         constexpr Range deadlineRange{1, 600000};
@@ -147,7 +147,7 @@
 
     friend auto operator<=>(const EntityKey &, const EntityKey &) = default;
 
-    template<class Archive>
+    template <class Archive>
     void serialize(Archive &archive)
     {
         archive(kind, name);
@@ -165,7 +165,7 @@
 
     friend bool operator==(const FieldText &, const FieldText &) = default;
 
-    template<class Archive>
+    template <class Archive>
     void serialize(Archive &archive)
     {
         archive(key, value);
--- a/src/core/config/note.cpp
+++ b/src/core/config/note.cpp
@@ -146,7 +146,8 @@
     auto errors = std::move(document.errors);
     Note note;
     if (header == nullptr) {
-        errors.push_back({.kind = SettingErrorKind::MissingSection, .source = document.source, .line = 1, .section = std::string(noteSection)});
+        errors.push_back(
+            {.kind = SettingErrorKind::MissingSection, .source = document.source, .line = 1, .section = std::string(noteSection)});
     } else {
         readHeader(*header, document, note, errors);
     }
--- a/src/core/config/settingerror.cpp
+++ b/src/core/config/settingerror.cpp
@@ -2,7 +2,6 @@
 
 #include "core/text.h"
 
-
 namespace Laburnummast::Config
 {
 
--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -15,6 +15,8 @@
 constexpr Millis minRetryAfter = 1_s;
 constexpr Millis maxRetryAfter = 30_s;
 constexpr std::size_t maxAttempts = 4;
+// Calls by which a flow may lead another, at weight one, before its priority no longer helps it.
+constexpr double maxFlowLead = 20;
 
 bool provablyNotRun(AttemptOutcome outcome)
 {
@@ -56,6 +58,7 @@
 Dispatcher::Dispatcher(const DispatcherOptions &options)
     : m_options(options)
     , m_router(options.domain, options.seed)
+    , m_queues{Admission::FairQueue(m_clock), Admission::FairQueue(m_clock), Admission::FairQueue(m_clock)}
     , m_credits(options.floors)
     , m_retries(options.retryShare)
     , m_hedges(options.hedgeShare)
@@ -130,8 +133,7 @@
 
 void Dispatcher::pump(Millis now, Actions &actions)
 {
-    while (pumpOne(now, actions)) {
-    }
+    while (pumpOne(now, actions)) { }
 }
 
 bool Dispatcher::pumpOne(Millis now, Actions &actions)
@@ -142,7 +144,9 @@
             return true;
         }
     }
-    for (const auto priority : {Priority::Urgent, Priority::Normal, Priority::Deferrable}) {
+    const auto second = deferrableGoesFirst() ? Priority::Deferrable : Priority::Normal;
+    const auto third = second == Priority::Normal ? Priority::Deferrable : Priority::Normal;
+    for (const auto priority : {Priority::Urgent, second, third}) {
         if (sendFrom(priority, ruleOf(priority), now, actions)) {
             return true;
         }
@@ -150,6 +154,14 @@
     return false;
 }
 
+// Below the urgent work a partner's flood of a higher priority must not take the share of another's lower one.
+bool Dispatcher::deferrableGoesFirst() const
+{
+    const auto normal = m_queues[indexOf(Priority::Normal)].nextFlow();
+    const auto deferrable = m_queues[indexOf(Priority::Deferrable)].nextFlow();
+    return normal && deferrable && m_clock.served(*normal) - m_clock.served(*deferrable) > maxFlowLead;
+}
+
 PlaceRule Dispatcher::ruleOf(Priority priority) const
 {
     return priority == Priority::Urgent ? PlaceRule::Anywhere : PlaceRule::OwnPart;
@@ -248,10 +260,8 @@
 {
     call.finished = true;
     (void)now;
-    actions.emplace_back(FinishCall{.call = call.request.id,
-                                    .attempt = attempt,
-                                    .disposition = disposition,
-                                    .retryAfter = expectedWait(call.request.priority)});
+    actions.emplace_back(FinishCall{
+        .call = call.request.id, .attempt = attempt, .disposition = disposition, .retryAfter = expectedWait(call.request.priority)});
     for (const auto &it : call.active) {
         actions.emplace_back(CancelAttempt{.call = call.request.id, .attempt = it.number, .upstream = it.upstream});
     }
--- a/src/core/dispatch/dispatcher.h
+++ b/src/core/dispatch/dispatcher.h
@@ -63,6 +63,8 @@
 {
 public:
     explicit Dispatcher(const DispatcherOptions &options);
+    Dispatcher(const Dispatcher &) = delete;
+    Dispatcher &operator=(const Dispatcher &) = delete;
 
     void configure(const DispatcherOptions &options);
     void setUpstreams(std::span<const UpstreamSpec> specs, Millis now, Actions &actions);
@@ -136,6 +138,7 @@
     Millis expectedWait(Priority priority) const;
     Admission::ServeOrder orderOf(Priority priority, Millis now) const;
     PlaceRule ruleOf(Priority priority) const;
+    bool deferrableGoesFirst() const;
     std::array<bool, priorityCount> waiting() const;
     void expire(Millis now, Actions &actions);
     void hedgeLate(Millis now, Actions &actions);
@@ -144,6 +147,7 @@
 
     DispatcherOptions m_options;
     Router m_router;
+    Admission::FlowClock m_clock;
     std::array<Admission::FairQueue, priorityCount> m_queues;
     Admission::FloorCredits m_credits;
     Retry::RetryBudget m_retries;
--- a/src/core/idempotency/keytable.h
+++ b/src/core/idempotency/keytable.h
@@ -26,7 +26,7 @@
     /// The body was too large to keep; only the fact that the call ran is known.
     bool bodyDropped = false;
 
-    template<class Archive>
+    template <class Archive>
     void serialize(Archive &archive)
     {
         archive(status, contentType, body, bodyDropped);
@@ -71,7 +71,7 @@
     std::string claimedBy;
     StoredAnswer answer;
 
-    template<class Archive>
+    template <class Archive>
     void serialize(Archive &archive)
     {
         archive(key, age, known, claimedBy, answer);
--- a/src/core/membership/member.h
+++ b/src/core/membership/member.h
@@ -17,7 +17,7 @@
 
     friend auto operator<=>(const Address &, const Address &) = default;
 
-    template<class Archive>
+    template <class Archive>
     void serialize(Archive &archive)
     {
         archive(ip, port);
@@ -33,7 +33,7 @@
     Address entry;
     Address admin;
 
-    template<class Archive>
+    template <class Archive>
     void serialize(Archive &archive)
     {
         archive(host, domain, peer, entry, admin);
@@ -64,7 +64,7 @@
 
     friend bool operator==(const ConfigPosition &, const ConfigPosition &) = default;
 
-    template<class Archive>
+    template <class Archive>
     void serialize(Archive &archive)
     {
         archive(offset, hash);
@@ -79,7 +79,7 @@
     MemberState state = MemberState::Alive;
     ConfigPosition config;
 
-    template<class Archive>
+    template <class Archive>
     void serialize(Archive &archive)
     {
         archive(info, incarnation, state, config);
--- a/src/core/membership/message.cpp
+++ b/src/core/membership/message.cpp
@@ -2,10 +2,10 @@
 
 #include "core/keyedhash.h"
 
+#include <algorithm>
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
-#include <algorithm>
 #include <sstream>
 
 namespace Laburnummast::Membership
--- a/src/core/millis.h
+++ b/src/core/millis.h
@@ -39,7 +39,7 @@
         return *this;
     }
 
-    template<class Archive>
+    template <class Archive>
     void serialize(Archive &archive)
     {
         archive(count);
--- a/src/core/result.h
+++ b/src/core/result.h
@@ -7,17 +7,17 @@
 {
 
 /// Either a value or a typed failure.
-template<class T, class Failure>
+template <class T, class Failure>
 using Result = std::variant<T, Failure>;
 
 /// Builds a visitor from lambdas.
-template<class... Handlers>
+template <class... Handlers>
 struct Overloaded : Handlers...
 {
     using Handlers::operator()...;
 };
 
-template<class... Handlers>
+template <class... Handlers>
 Overloaded(Handlers...) -> Overloaded<Handlers...>;
 
 }
--- a/src/core/routing/upstreamload.cpp
+++ b/src/core/routing/upstreamload.cpp
@@ -49,11 +49,8 @@
     return {.sentAt = now, .priority = priority, .ownInFlight = m_inFlight, .expectedWaitFactor = std::max(1.0, (ahead + 1) / m_slots)};
 }
 
-void UpstreamLoad::end(const AttemptStart &attempt,
-                       AttemptOutcome outcome,
-                       const std::optional<LoadReport> &report,
-                       Millis typicalLatency,
-                       Millis now)
+void UpstreamLoad::end(
+    const AttemptStart &attempt, AttemptOutcome outcome, const std::optional<LoadReport> &report, Millis typicalLatency, Millis now)
 {
     --m_inFlight;
     --m_inFlightBy[indexOf(attempt.priority)];
--- a/src/core/routing/upstreamload.h
+++ b/src/core/routing/upstreamload.h
@@ -50,7 +50,8 @@
     UpstreamLoad(int slots, Millis now, bool cold);
 
     AttemptStart start(Priority priority, Millis now);
-    void end(const AttemptStart &attempt, AttemptOutcome outcome, const std::optional<LoadReport> &report, Millis typicalLatency, Millis now);
+    void
+    end(const AttemptStart &attempt, AttemptOutcome outcome, const std::optional<LoadReport> &report, Millis typicalLatency, Millis now);
     void probed(bool healthy, const LoadReport &report, Millis now);
 
     int inFlight() const
--- a/src/core/text.h
+++ b/src/core/text.h
@@ -17,7 +17,7 @@
 {
 
 /// Passes standard views to the string library.
-template<class T>
+template <class T>
 decltype(auto) piece(const T &part)
 {
     if constexpr (std::is_same_v<T, std::string_view>) {
@@ -28,13 +28,13 @@
 }
 
 /// One text of all parts: texts and numbers.
-template<class... Parts>
+template <class... Parts>
 std::string concat(const Parts &...parts)
 {
     return absl::StrCat(piece(parts)...);
 }
 
-template<class... Parts>
+template <class... Parts>
 void append(std::string &text, const Parts &...parts)
 {
     absl::StrAppend(&text, piece(parts)...);
--- a/src/core/usage/usagechain.h
+++ b/src/core/usage/usagechain.h
@@ -21,7 +21,7 @@
     UsageSource source;
     UsageTable table;
 
-    template<class Archive>
+    template <class Archive>
     void serialize(Archive &archive)
     {
         archive(source, table);
@@ -38,7 +38,7 @@
     Millis at;
     std::vector<UsageEntry> entries;
 
-    template<class Archive>
+    template <class Archive>
     void serialize(Archive &archive)
     {
         archive(writer, sequence, previous, at, entries);
--- a/src/core/usage/usageledger.h
+++ b/src/core/usage/usageledger.h
@@ -17,7 +17,7 @@
 
     friend auto operator<=>(const UsageKey &, const UsageKey &) = default;
 
-    template<class Archive>
+    template <class Archive>
     void serialize(Archive &archive)
     {
         archive(owner, partner, service);
@@ -39,7 +39,7 @@
     /// The larger of each count: merging a copy twice, or an old one late, changes nothing.
     void mergeMaximum(const UsageCounters &other);
 
-    template<class Archive>
+    template <class Archive>
     void serialize(Archive &archive)
     {
         archive(calls, refused, slotMicros, bytesIn, bytesOut, probes);
@@ -54,7 +54,7 @@
 
     friend auto operator<=>(const UsageSource &, const UsageSource &) = default;
 
-    template<class Archive>
+    template <class Archive>
     void serialize(Archive &archive)
     {
         archive(host, incarnation);
--- a/src/daemon/adminhandler.cpp
+++ b/src/daemon/adminhandler.cpp
@@ -1,8 +1,8 @@
 #include "daemon/adminhandler.h"
 
 #include "core/keyedhash.h"
-#include "process/log.h"
 #include "core/text.h"
+#include "process/log.h"
 
 #include <nlohmann/json.hpp>
 
@@ -54,7 +54,9 @@
                                   list.push_back(describe(it));
                               }
                           },
-                          [&](const Config::FutureFormat &it) { list.push_back(Text::concat("format ", it.format, " is later than this build knows")); }},
+                          [&](const Config::FutureFormat &it) {
+                              list.push_back(Text::concat("format ", it.format, " is later than this build knows"));
+                          }},
                failure);
     return list;
 }
@@ -151,7 +153,9 @@
     // What cannot fit the state in force is told at once and kept out of the log.
     const auto reasons = m_control.check(note);
     if (!reasons.empty()) {
-        send(request, statusConflict, {{"id", note.id}, {"verdict", "rejected"}, {"offset", Config::noOffset}, {"reasons", toJson(reasons)}});
+        send(request,
+             statusConflict,
+             {{"id", note.id}, {"verdict", "rejected"}, {"offset", Config::noOffset}, {"reasons", toJson(reasons)}});
         return;
     }
     const auto outcome = m_control.publish(text, note.id);
--- a/src/daemon/callhandler.cpp
+++ b/src/daemon/callhandler.cpp
@@ -1,8 +1,8 @@
 #include "daemon/callhandler.h"
 
 #include "core/config/address.h"
-#include "process/wallclock.h"
 #include "core/text.h"
+#include "process/wallclock.h"
 
 #include <algorithm>
 #include <cmath>
@@ -167,10 +167,8 @@
     for (const auto &it : members) {
         entries.push_back({{"address", Config::toString(it.info.entry)}, {"host", it.info.host}, {"domain", it.info.domain}});
     }
-    const nlohmann::json body{{"service", service->name},
-                              {"revision", config->revision()},
-                              {"ttl_ms", m_settings.entryTtl.count},
-                              {"entries", entries}};
+    const nlohmann::json body{
+        {"service", service->name}, {"revision", config->revision()}, {"ttl_ms", m_settings.entryTtl.count}, {"entries", entries}};
     ++m_counters.entriesAnswered;
     Net::sendResponse(request, {.status = 200, .body = body.dump() + "\n"});
 }
@@ -300,7 +298,8 @@
         fail(call, CallFailure::BadRequest, "X-Attempt: a number from 1");
         return false;
     }
-    RepeatedCall repeat{.key = scoped, .previous = {}, .age = millisHeader(call.request, "X-First-Attempt-Age-Ms"), .deadline = context.request.deadline};
+    RepeatedCall repeat{
+        .key = scoped, .previous = {}, .age = millisHeader(call.request, "X-First-Attempt-Age-Ms"), .deadline = context.request.deadline};
     for (const auto it : Text::split(call.request.header("X-Previous-Entries").value_or(""), ',')) {
         const auto address = Config::parseAddress(Text::trim(it));
         if (!address) {
@@ -348,13 +347,15 @@
     if (finished != nullptr && finished->disposition == Disposition::Done && finished->answer) {
         const auto &answer = *finished->answer;
         Idempotency::StoredAnswer stored{.status = answer.head.status,
-                                         .contentType = std::string(answer.head.header("Content-Type").value_or("application/octet-stream")),
+                                         .contentType
+                                         = std::string(answer.head.header("Content-Type").value_or("application/octet-stream")),
                                          .body = answer.live ? std::string() : answer.body,
                                          .bodyDropped = answer.live != nullptr};
         m_keys.finishAnswered(call.key, std::move(stored));
         return;
     }
-    const bool notRun = std::holds_alternative<CallRefused>(result) || (finished != nullptr && finished->disposition == Disposition::NotRun);
+    const bool notRun
+        = std::holds_alternative<CallRefused>(result) || (finished != nullptr && finished->disposition == Disposition::NotRun);
     if (notRun) {
         m_keys.finishNotRun(call.key);
     } else {
@@ -368,8 +369,8 @@
     const bool done = finished != nullptr && finished->disposition == Disposition::Done && finished->answer;
     Usage::UsageCounters use{.calls = done ? 1U : 0U, .refused = done ? 0U : 1U, .bytesIn = call.context->bytesIn};
     if (done) {
-        use.bytesOut = static_cast<std::uint64_t>(
-            std::max<std::int64_t>(finished->answer->head.contentLength.value_or(0), static_cast<std::int64_t>(finished->answer->body.size())));
+        use.bytesOut = static_cast<std::uint64_t>(std::max<std::int64_t>(finished->answer->head.contentLength.value_or(0),
+                                                                         static_cast<std::int64_t>(finished->answer->body.size())));
     }
     {
         const std::lock_guard lock(call.context->mutex);
@@ -383,7 +384,9 @@
     std::visit(Overloaded{[&](const CallRefused &it) { fail(call, CallFailure::NotRun, nameOf(it.reason), it.retryAfter); },
                           [&](const CallerBodyFailed &it) {
                               const bool tooLarge = it.error == Net::BodyError::TooLarge;
-                              fail(call, tooLarge ? CallFailure::TooLarge : CallFailure::BadRequest, tooLarge ? "too large" : "the body broke off");
+                              fail(call,
+                                   tooLarge ? CallFailure::TooLarge : CallFailure::BadRequest,
+                                   tooLarge ? "too large" : "the body broke off");
                           },
                           [&](const CallFinished &it) {
                               if (it.disposition == Disposition::Done && it.answer) {
--- a/src/daemon/control.cpp
+++ b/src/daemon/control.cpp
@@ -2,10 +2,10 @@
 
 #include "core/config/address.h"
 #include "core/routing/rendezvous.h"
+#include "core/text.h"
 #include "net/peerclient.h"
 #include "process/log.h"
 #include "process/wallclock.h"
-#include "core/text.h"
 
 #include <algorithm>
 #include <ctime>
@@ -304,21 +304,22 @@
 void Control::noteVerdict(const Config::Verdict &verdict, Config::Offset offset)
 {
     const auto at = Text::concat(offset);
-    std::visit(Overloaded{[&](const Config::Accepted &it) {
-                              ++m_counters.notesAccepted;
-                              Process::logInfo("note-accepted", {{"id", it.noteId}, {"offset", at}});
-                          },
-                          [&](const Config::Repeated &) { ++m_counters.notesRepeated; },
-                          [&](const Config::Rejected &it) {
-                              ++m_counters.notesRejected;
-                              Process::logInfo("note-rejected", {{"id", it.noteId}, {"offset", at}, {"reason", nameOf(it.reasons.front().kind)}});
-                          },
-                          [&](const Config::Unreadable &it) {
-                              ++m_counters.recordsUnreadable;
-                              const bool future = std::holds_alternative<Config::FutureFormat>(it.failure);
-                              Process::logWarning("record-unreadable", {{"offset", at}, {"kind", future ? "future-format" : "malformed"}});
-                          }},
-               verdict);
+    std::visit(
+        Overloaded{[&](const Config::Accepted &it) {
+                       ++m_counters.notesAccepted;
+                       Process::logInfo("note-accepted", {{"id", it.noteId}, {"offset", at}});
+                   },
+                   [&](const Config::Repeated &) { ++m_counters.notesRepeated; },
+                   [&](const Config::Rejected &it) {
+                       ++m_counters.notesRejected;
+                       Process::logInfo("note-rejected", {{"id", it.noteId}, {"offset", at}, {"reason", nameOf(it.reasons.front().kind)}});
+                   },
+                   [&](const Config::Unreadable &it) {
+                       ++m_counters.recordsUnreadable;
+                       const bool future = std::holds_alternative<Config::FutureFormat>(it.failure);
+                       Process::logWarning("record-unreadable", {{"offset", at}, {"kind", future ? "future-format" : "malformed"}});
+                   }},
+        verdict);
 }
 
 bool Control::takeSnapshot(const std::string &bytes)
@@ -365,9 +366,8 @@
     }
     const auto here = position().offset;
     const auto others = m_membership.others();
-    const auto further = std::max_element(others.begin(), others.end(), [](const auto &a, const auto &b) {
-        return a.config.offset < b.config.offset;
-    });
+    const auto further
+        = std::max_element(others.begin(), others.end(), [](const auto &a, const auto &b) { return a.config.offset < b.config.offset; });
     if (further != others.end() && further->config.offset > here && further->state <= Membership::MemberState::Leaving) {
         fetchFrom(*further);
     }
--- a/src/daemon/control.h
+++ b/src/daemon/control.h
@@ -12,9 +12,9 @@
 #include "daemon/workerpool.h"
 #include "net/peerserver.h"
 
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <atomic>
 #include <condition_variable>
 #include <cstdint>
 #include <future>
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -1,9 +1,8 @@
 #include "daemon/daemon.h"
 
+#include "core/text.h"
 #include "process/log.h"
 #include "process/wallclock.h"
-#include "core/text.h"
-
 
 namespace Laburnummast::Daemon
 {
--- a/src/daemon/keyguard.cpp
+++ b/src/daemon/keyguard.cpp
@@ -1,8 +1,8 @@
 #include "daemon/keyguard.h"
 
+#include "core/text.h"
 #include "net/peerclient.h"
 #include "process/wallclock.h"
-#include "core/text.h"
 
 #include <algorithm>
 #include <thread>
@@ -22,7 +22,7 @@
 // Between host and incarnation: a restarted host must not take its earlier run's claim for its own.
 constexpr char claimantMark = '#';
 
-template<class T>
+template <class T>
 bool is(const KeyVerdict &verdict)
 {
     return std::holds_alternative<T>(verdict);
@@ -30,7 +30,10 @@
 
 }
 
-KeyGuard::KeyGuard(const Idempotency::KeyTableOptions &options, const KeyGuardIdentity &identity, std::string peerKey, MembersFunction members)
+KeyGuard::KeyGuard(const Idempotency::KeyTableOptions &options,
+                   const KeyGuardIdentity &identity,
+                   std::string peerKey,
+                   MembersFunction members)
     : m_self(identity.host)
     , m_claimant(Text::concat(identity.host, std::string(1, claimantMark), identity.incarnation))
     , m_peerKey(std::move(peerKey))
@@ -111,7 +114,8 @@
     std::sort(members.begin(), members.end(), [](const auto &a, const auto &b) { return a.info.host < b.info.host; });
     std::vector<Membership::Member> targets;
     if (call.previous.empty()) {
-        std::copy_if(members.begin(), members.end(), std::back_inserter(targets), [this](const auto &it) { return it.info.host != m_self; });
+        std::copy_if(
+            members.begin(), members.end(), std::back_inserter(targets), [this](const auto &it) { return it.info.host != m_self; });
         return targets;
     }
     for (const auto &address : call.previous) {
--- a/src/daemon/runtimeconfig.cpp
+++ b/src/daemon/runtimeconfig.cpp
@@ -65,10 +65,8 @@
     for (const auto &[key, value] : state.entities()) {
         if (const auto *partner = std::get_if<Config::Partner>(&value.entity)) {
             const double share = static_cast<double>(partner->weight) / partnerWeights[partner->owner];
-            m_partnersByHash[partner->credentialSha256] = {.name = key.name,
-                                                           .owner = partner->owner,
-                                                           .flow = flowOf(key.name),
-                                                           .weight = share * ownerWeights[partner->owner]};
+            m_partnersByHash[partner->credentialSha256]
+                = {.name = key.name, .owner = partner->owner, .flow = flowOf(key.name), .weight = share * ownerWeights[partner->owner]};
         }
     }
 }
--- a/src/daemon/servicerunner.cpp
+++ b/src/daemon/servicerunner.cpp
@@ -24,7 +24,8 @@
             .queueLimit = static_cast<std::size_t>(service.queueLimit),
             .retryShare = static_cast<double>(service.retryPercent) / percent,
             .hedgeShare = options.hedgeShare,
-            .floors = {0, static_cast<double>(service.normalFloorPercent) / percent, static_cast<double>(service.deferrableFloorPercent) / percent},
+            .floors
+            = {0, static_cast<double>(service.normalFloorPercent) / percent, static_cast<double>(service.deferrableFloorPercent) / percent},
             .targets = {service.urgentTarget, service.normalTarget, service.deferrableTarget},
             .probesPerSecond = static_cast<double>(options.probesPerSecond),
             .probeAfter = options.probeAfter};
--- a/src/daemon/servicerunner.h
+++ b/src/daemon/servicerunner.h
@@ -2,9 +2,9 @@
 #define LABURNUMMAST_DAEMON_SERVICERUNNER_H
 
 #include "core/dispatch/dispatcher.h"
-#include "daemon/workerpool.h"
 #include "daemon/callcontext.h"
 #include "daemon/runtimeconfig.h"
+#include "daemon/workerpool.h"
 
 #include <atomic>
 #include <cstdint>
--- a/src/daemon/traffic.h
+++ b/src/daemon/traffic.h
@@ -3,10 +3,10 @@
 
 #include "core/membership/member.h"
 #include "core/usage/usageledger.h"
-#include "daemon/workerpool.h"
 #include "daemon/runtimeconfig.h"
 #include "daemon/servicerunner.h"
 #include "daemon/settings.h"
+#include "daemon/workerpool.h"
 
 #include <atomic>
 #include <map>
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -1,7 +1,7 @@
 #include "net/httpclient.h"
 
-#include "process/wallclock.h"
 #include "core/text.h"
+#include "process/wallclock.h"
 
 #include <algorithm>
 #include <array>
--- a/src/net/logclient.cpp
+++ b/src/net/logclient.cpp
@@ -17,7 +17,8 @@
 
 bool takeRecord(const Json &json, LogPage &page)
 {
-    if (!json.is_object() || !json.contains("offset") || !json["offset"].is_number_integer() || !json.contains("data") || !json["data"].is_string()) {
+    if (!json.is_object() || !json.contains("offset") || !json["offset"].is_number_integer() || !json.contains("data")
+        || !json["data"].is_string()) {
         return false;
     }
     auto data = Text::fromBase64(json["data"].get_ref<const std::string &>());
@@ -90,7 +91,8 @@
 
 Result<LogPage, LogError> LogClient::read(std::string_view stream, Offset from, int most, Millis wait) const
 {
-    const auto target = Text::concat("/v1/streams/", stream, "/records?from=", from, "&max=", most, "&wait_ms=", static_cast<int>(wait.count));
+    const auto target
+        = Text::concat("/v1/streams/", stream, "/records?from=", from, "&max=", most, "&wait_ms=", static_cast<int>(wait.count));
     return readPage(target, wait + answerMargin);
 }
 
--- a/src/net/peerclient.cpp
+++ b/src/net/peerclient.cpp
@@ -2,12 +2,12 @@
 
 #include "process/wallclock.h"
 
+#include <array>
 #include <boost/asio/connect.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
-#include <array>
 #include <chrono>
 
 namespace Laburnummast::Net
@@ -113,8 +113,7 @@
 
 }
 
-Result<PeerReply, PeerError>
-askPeer(const Membership::Address &address, const PeerRequest &request, std::string_view key, Millis timeout)
+Result<PeerReply, PeerError> askPeer(const Membership::Address &address, const PeerRequest &request, std::string_view key, Millis timeout)
 {
     return Exchange(address, request, key).run(timeout);
 }
--- a/src/net/peerclient.h
+++ b/src/net/peerclient.h
@@ -11,8 +11,7 @@
 {
 
 /// Asks a peer over a new TCP connection: none is kept that could go silent.
-Result<PeerReply, PeerError>
-askPeer(const Membership::Address &address, const PeerRequest &request, std::string_view key, Millis timeout);
+Result<PeerReply, PeerError> askPeer(const Membership::Address &address, const PeerRequest &request, std::string_view key, Millis timeout);
 
 }
 
--- a/src/net/peermessage.cpp
+++ b/src/net/peermessage.cpp
@@ -23,7 +23,7 @@
     return keyedHash(key, Text::concat(nonce, std::string(1, static_cast<char>(direction)), body));
 }
 
-template<class T>
+template <class T>
 std::string encodeAs(const T &value, std::string_view key, std::string_view nonce, Direction direction)
 {
     std::ostringstream stream;
@@ -38,7 +38,7 @@
     return Text::concat(frame, body, hashed(key, nonce, direction, body));
 }
 
-template<class T>
+template <class T>
 Result<T, PeerError> decodeAs(std::string_view payload, std::string_view key, std::string_view nonce, Direction direction)
 {
     if (payload.size() < keyedHashBytes) {
@@ -85,16 +85,14 @@
 
 KeyReply toReply(const Idempotency::KeyVerdict &verdict)
 {
-    return std::visit(Overloaded{[](const Idempotency::RunIt &) { return KeyReply{.kind = KeyReplyKind::RunIt}; },
-                                 [](const Idempotency::InFlight &) { return KeyReply{.kind = KeyReplyKind::InFlight}; },
-                                 [](const Idempotency::Answered &it) {
-                                     return KeyReply{.kind = KeyReplyKind::Answered, .member = {}, .answer = *it.answer};
-                                 },
-                                 [](const Idempotency::ClaimedBy &it) {
-                                     return KeyReply{.kind = KeyReplyKind::ClaimedBy, .member = it.member};
-                                 },
-                                 [](const Idempotency::CannotSay &) { return KeyReply{.kind = KeyReplyKind::CannotSay}; }},
-                      verdict);
+    return std::visit(
+        Overloaded{
+            [](const Idempotency::RunIt &) { return KeyReply{.kind = KeyReplyKind::RunIt}; },
+            [](const Idempotency::InFlight &) { return KeyReply{.kind = KeyReplyKind::InFlight}; },
+            [](const Idempotency::Answered &it) { return KeyReply{.kind = KeyReplyKind::Answered, .member = {}, .answer = *it.answer}; },
+            [](const Idempotency::ClaimedBy &it) { return KeyReply{.kind = KeyReplyKind::ClaimedBy, .member = it.member}; },
+            [](const Idempotency::CannotSay &) { return KeyReply{.kind = KeyReplyKind::CannotSay}; }},
+        verdict);
 }
 
 Idempotency::KeyVerdict toVerdict(const KeyReply &reply)
--- a/src/net/peermessage.h
+++ b/src/net/peermessage.h
@@ -20,7 +20,7 @@
 {
     Config::Offset have = Config::noOffset;
 
-    template<class Archive>
+    template <class Archive>
     void serialize(Archive &archive)
     {
         archive(have);
@@ -36,7 +36,7 @@
     /// Set if the first attempt went to a member that has left and handed its keys over.
     std::string gone;
 
-    template<class Archive>
+    template <class Archive>
     void serialize(Archive &archive)
     {
         archive(key, claimant, age, gone);
@@ -49,7 +49,7 @@
     std::string from;
     std::vector<Idempotency::HandedKey> keys;
 
-    template<class Archive>
+    template <class Archive>
     void serialize(Archive &archive)
     {
         archive(from, keys);
@@ -61,7 +61,7 @@
     Usage::UsageSource source;
     Usage::UsageTable table;
 
-    template<class Archive>
+    template <class Archive>
     void serialize(Archive &archive)
     {
         archive(source, table);
@@ -73,7 +73,7 @@
 {
     std::vector<UsageCopy> copies;
 
-    template<class Archive>
+    template <class Archive>
     void serialize(Archive &archive)
     {
         archive(copies);
@@ -86,7 +86,7 @@
     std::string service;
     std::string upstream;
 
-    template<class Archive>
+    template <class Archive>
     void serialize(Archive &archive)
     {
         archive(service, upstream);
@@ -100,7 +100,7 @@
 {
     std::string snapshot;
 
-    template<class Archive>
+    template <class Archive>
     void serialize(Archive &archive)
     {
         archive(snapshot);
@@ -121,7 +121,7 @@
     std::string member;
     Idempotency::StoredAnswer answer;
 
-    template<class Archive>
+    template <class Archive>
     void serialize(Archive &archive)
     {
         archive(kind, member, answer);
@@ -130,7 +130,7 @@
 
 struct Acknowledged
 {
-    template<class Archive>
+    template <class Archive>
     void serialize(Archive & /*archive*/)
     {
     }
--- a/src/net/peerserver.cpp
+++ b/src/net/peerserver.cpp
@@ -61,9 +61,8 @@
         if (ended(ec)) {
             return;
         }
-        Asio::async_read(m_socket, Asio::buffer(m_header), [self = shared_from_this()](const auto &failure, std::size_t) {
-            self->announced(failure);
-        });
+        Asio::async_read(
+            m_socket, Asio::buffer(m_header), [self = shared_from_this()](const auto &failure, std::size_t) { self->announced(failure); });
     }
 
     void announced(const boost::system::error_code &ec)
@@ -111,9 +110,8 @@
         m_server.m_counters.bytesIn += m_payload.size();
         m_payload = encodeFrame(m_server.m_onRequest(std::get<PeerRequest>(request)), m_server.m_key, m_nonce);
         m_server.m_counters.bytesOut += m_payload.size();
-        Asio::async_write(m_socket, Asio::buffer(m_payload), [self = shared_from_this()](const auto &, std::size_t) {
-            self->m_timer.cancel();
-        });
+        Asio::async_write(
+            m_socket, Asio::buffer(m_payload), [self = shared_from_this()](const auto &, std::size_t) { self->m_timer.cancel(); });
     }
 
     bool ended(const boost::system::error_code &ec)
@@ -141,8 +139,7 @@
 {
 }
 
-std::optional<Membership::Address>
-PeerServer::start(const Membership::Address &address, MessageHandler onMessage, RequestHandler onRequest)
+std::optional<Membership::Address> PeerServer::start(const Membership::Address &address, MessageHandler onMessage, RequestHandler onRequest)
 {
     m_onMessage = std::move(onMessage);
     m_onRequest = std::move(onRequest);
--- a/src/net/peerserver.h
+++ b/src/net/peerserver.h
@@ -4,11 +4,11 @@
 #include "core/membership/message.h"
 #include "net/peermessage.h"
 
+#include <array>
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/ip/udp.hpp>
-#include <array>
-#include <atomic>
 #include <cstdint>
 #include <functional>
 #include <memory>
--- a/src/process/log.cpp
+++ b/src/process/log.cpp
@@ -46,9 +46,9 @@
     const auto time = Expressions::format_date_time<boost::posix_time::ptime>("TimeStamp", "%Y-%m-%dT%H:%M:%S.%f");
     boost::log::add_console_log(std::clog,
                                 boost::log::keywords::auto_flush = true,
-                                boost::log::keywords::format = (Expressions::stream << "time=" << time << " level=" << boost::log::trivial::severity
-                                                                                    << " process=" << Expressions::attr<std::string>("Process")
-                                                                                    << " " << Expressions::smessage));
+                                boost::log::keywords::format
+                                = (Expressions::stream << "time=" << time << " level=" << boost::log::trivial::severity << " process="
+                                                       << Expressions::attr<std::string>("Process") << " " << Expressions::smessage));
 }
 
 void logInfo(std::string_view event, std::initializer_list<LogField> fields)
--- a/src/process/signals.cpp
+++ b/src/process/signals.cpp
@@ -31,7 +31,8 @@
 {
     constexpr double nanosPerMillis = 1e6;
     const auto seconds = static_cast<time_t>(timeout / 1_s);
-    const timespec limit{.tv_sec = seconds, .tv_nsec = static_cast<long>((timeout.count - static_cast<double>(seconds) * 1000) * nanosPerMillis)};
+    const timespec limit{.tv_sec = seconds,
+                         .tv_nsec = static_cast<long>((timeout.count - static_cast<double>(seconds) * 1000) * nanosPerMillis)};
     const auto signals = handledSignals();
     const int number = sigtimedwait(&signals, nullptr, &limit);
     return number > 0 ? std::optional(number) : std::nullopt;
--- a/src/standin/caller.cpp
+++ b/src/standin/caller.cpp
@@ -1,10 +1,10 @@
 // Callers: ask for entries, keep the answer for its time, call, repeat as the interface asks, and keep a tally.
 
 #include "core/config/address.h"
+#include "core/text.h"
 #include "net/httpclient.h"
 #include "process/wallclock.h"
 #include "standin/standin.h"
-#include "core/text.h"
 
 #include <absl/flags/flag.h>
 #include <absl/strings/str_format.h>
@@ -153,8 +153,8 @@
             return;
         }
         for (const auto &address : m_known) {
-            const auto answer =
-                Net::fetch(address, {.method = "GET", .target = Text::concat("/v1/entries?service=", m_load.service)}, 2_s, maxAnswer);
+            const auto answer
+                = Net::fetch(address, {.method = "GET", .target = Text::concat("/v1/entries?service=", m_load.service)}, 2_s, maxAnswer);
             const auto *response = std::get_if<Net::ClientResponse>(&answer);
             const auto json = response == nullptr ? Json() : Json::parse(response->body, nullptr, false);
             if (!json.is_object() || !json.contains("entries") || json["entries"].empty()) {
@@ -338,7 +338,8 @@
         it.join();
     }
     Tally sum;
-    std::cout << absl::StrFormat("%-12s %8s %8s %8s %8s %6s %9s %9s %9s\n", "load", "calls", "done", "not-run", "unknown", "lost", "p50 ms", "p99 ms", "max ms");
+    std::cout << absl::StrFormat(
+        "%-12s %8s %8s %8s %8s %6s %9s %9s %9s\n", "load", "calls", "done", "not-run", "unknown", "lost", "p50 ms", "p99 ms", "max ms");
     for (auto &[label, it] : shared.tallies) {
         std::cout << absl::StrFormat("%-12s %8d %8d %8d %8d %6d %9.2f %9.2f %9.2f\n",
                                      label,
@@ -356,8 +357,10 @@
         sum.repeated += it.repeated;
     }
     const auto keys = checkKeys(shared);
-    const bool ok = sum.lost == 0 && sum.truncated == 0 && keys.duplicated == 0 && keys.refusedButRan == 0 && keys.doneButNotRun == 0 && keys.complete;
-    std::cout << absl::StrFormat("repeated attempts=%d refused-but-ran=%d done-but-not-run=%d\n", sum.repeated, keys.refusedButRan, keys.doneButNotRun);
+    const bool ok = sum.lost == 0 && sum.truncated == 0 && keys.duplicated == 0 && keys.refusedButRan == 0 && keys.doneButNotRun == 0
+        && keys.complete;
+    std::cout << absl::StrFormat(
+        "repeated attempts=%d refused-but-ran=%d done-but-not-run=%d\n", sum.repeated, keys.refusedButRan, keys.doneButNotRun);
     std::cout << absl::StrFormat("%s: %s calls=%d lost=%d duplicated=%d truncated=%d\n",
                                  absl::GetFlag(FLAGS_summary),
                                  ok ? "ok" : "failed",
--- a/src/standin/log.cpp
+++ b/src/standin/log.cpp
@@ -1,9 +1,9 @@
 // The platform's log service: streams of records with offsets, long polls, bounded retention, faults on request.
 
+#include "core/text.h"
 #include "process/wallclock.h"
 #include "standin/serve.h"
 #include "standin/standin.h"
-#include "core/text.h"
 
 #include <absl/flags/flag.h>
 #include <atomic>
--- a/src/standin/serve.cpp
+++ b/src/standin/serve.cpp
@@ -22,16 +22,13 @@
     }
     Net::HttpServer server;
     constexpr Millis patience = 60_s;
-    const Net::HttpServerOptions options{.address = *address,
-                                         .threads = absl::GetFlag(FLAGS_threads),
-                                         .requestTimeout = patience,
-                                         .keepAliveTimeout = patience};
+    const Net::HttpServerOptions options{
+        .address = *address, .threads = absl::GetFlag(FLAGS_threads), .requestTimeout = patience, .keepAliveTimeout = patience};
     if (server.start(options, handler)) {
         std::cerr << "cannot listen on " << absl::GetFlag(FLAGS_listen) << "\n";
         return 3;
     }
-    while (!Process::waitForSignal(1_s)) {
-    }
+    while (!Process::waitForSignal(1_s)) { }
     server.stop();
     return 0;
 }
--- a/src/standin/upstream.cpp
+++ b/src/standin/upstream.cpp
@@ -1,13 +1,13 @@
 // A server with slots: reports load, sheds, drains, and fails in the ways the brief names.
 
+#include "core/text.h"
 #include "process/wallclock.h"
 #include "standin/serve.h"
 #include "standin/standin.h"
-#include "core/text.h"
 
 #include <absl/flags/flag.h>
-#include <civetweb.h>
 #include <atomic>
+#include <civetweb.h>
 #include <cmath>
 #include <condition_variable>
 #include <map>
@@ -220,8 +220,7 @@
     static bool takeFault(std::atomic<int> &left)
     {
         int n = left;
-        while (n > 0 && !left.compare_exchange_weak(n, n - 1)) {
-        }
+        while (n > 0 && !left.compare_exchange_weak(n, n - 1)) { }
         return n > 0;
     }
 
@@ -236,7 +235,8 @@
             return;
         }
         if (takeFault(m_faults.truncate)) {
-            const Net::ServerResponse head{.status = 200, .headers = {{.name = "X-Request-Id", .value = headerOf(request, "X-Request-Id")}}};
+            const Net::ServerResponse head{.status = 200,
+                                           .headers = {{.name = "X-Request-Id", .value = headerOf(request, "X-Request-Id")}}};
             Net::sendHead(request, head, static_cast<std::int64_t>(body.size()));
             Net::sendPiece(request, std::string_view(body).substr(0, body.size() / 2), false);
             request.closeAfter();
