Send only what can still be in time; newest first for normal work too

Ruled out: the floors (raising them moved the loss to another priority only).

Change: a queued call expires when less than the 95th percentile of the latency is left (at most half of what it had), and a standing queue of normal work is served newest first, as urgent work is.

--- a/bench/model/measure.cpp
+++ b/bench/model/measure.cpp
@@ -51,7 +51,12 @@
     }));
 }
 
-void measurePriority(const Scenario &scenario, std::span<const Call> calls, const Window &window, Priority priority, const std::string &prefix, Measures &measures)
+void measurePriority(const Scenario &scenario,
+                     std::span<const Call> calls,
+                     const Window &window,
+                     Priority priority,
+                     const std::string &prefix,
+                     Measures &measures)
 {
     std::vector<double> latencies;
     double all = 0;
--- a/bench/model/plot.cpp
+++ b/bench/model/plot.cpp
@@ -51,17 +51,32 @@
                                 it.label,
                                 it.value);
         const double middle = x + barWidth / 2 - 2;
-        body += absl::StrFormat("<line x1='%.1f' x2='%.1f' y1='%.1f' y2='%.1f' stroke='black'/>\n", middle, middle, position(it.least, highest), position(it.most, highest));
+        body += absl::StrFormat("<line x1='%.1f' x2='%.1f' y1='%.1f' y2='%.1f' stroke='black'/>\n",
+                                middle,
+                                middle,
+                                position(it.least, highest),
+                                position(it.most, highest));
         x += barWidth;
     }
     for (int decade = 0; decade <= static_cast<int>(highest); ++decade) {
         const double y = position(std::pow(10.0, decade), highest);
-        body += absl::StrFormat("<line x1='%.0f' x2='%.0f' y1='%.1f' y2='%.1f' stroke='#cccccc'/><text x='8' y='%.1f' font-size='11'>%g</text>\n",
-                                left, x + groupGap, y, y, y + 4, std::pow(10.0, decade));
+        body += absl::StrFormat(
+            "<line x1='%.0f' x2='%.0f' y1='%.1f' y2='%.1f' stroke='#cccccc'/><text x='8' y='%.1f' font-size='11'>%g</text>\n",
+            left,
+            x + groupGap,
+            y,
+            y,
+            y + 4,
+            std::pow(10.0, decade));
     }
     return absl::StrFormat("<svg xmlns='http://www.w3.org/2000/svg' width='%.0f' height='%.0f' font-family='sans-serif'>\n"
-                           "<rect width='100%%' height='100%%' fill='white'/>\n<text x='%.0f' y='22' font-size='14'>%s (red urgent, blue normal, green deferrable)</text>\n%s</svg>\n",
-                           x + 2 * groupGap, top + height + 30, left, std::string(title), body);
+                           "<rect width='100%%' height='100%%' fill='white'/>\n<text x='%.0f' y='22' font-size='14'>%s (red urgent, blue "
+                           "normal, green deferrable)</text>\n%s</svg>\n",
+                           x + 2 * groupGap,
+                           top + height + 30,
+                           left,
+                           std::string(title),
+                           body);
 }
 
 }
--- a/bench/model/scenario.cpp
+++ b/bench/model/scenario.cpp
@@ -51,15 +51,15 @@
     Statement current;
 };
 
-template<class Rule>
+template <class Rule>
 struct Action : tao::pegtl::nothing<Rule>
 {
 };
 
-template<>
+template <>
 struct Action<Grammar::Token>
 {
-    template<class Input>
+    template <class Input>
     static void apply(const Input &in, Statements &statements)
     {
         statements.current.line = static_cast<int>(in.position().line);
@@ -67,7 +67,7 @@
     }
 };
 
-template<>
+template <>
 struct Action<Grammar::Line>
 {
     static void apply0(Statements &statements)
--- a/bench/model/simulation.cpp
+++ b/bench/model/simulation.cpp
@@ -131,7 +131,8 @@
     {
         std::vector<Dispatch::UpstreamSpec> specs;
         for (std::size_t i = 0; i < m_workers.size(); ++i) {
-            specs.push_back({.name = Text::concat("worker-", i), .domain = Text::concat("domain-", m_workers[i].domain), .slots = m_workers[i].slots});
+            specs.push_back(
+                {.name = Text::concat("worker-", i), .domain = Text::concat("domain-", m_workers[i].domain), .slots = m_workers[i].slots});
         }
         for (auto &it : m_entries) {
             it.dispatcher = std::make_unique<Dispatch::Dispatcher>(Dispatch::DispatcherOptions{
@@ -304,7 +305,9 @@
     void carryOut(int entry, const Actions &actions)
     {
         for (const auto &action : actions) {
-            std::visit(Overloaded{[&](const Dispatch::SendAttempt &it) { sendAttempt(entry, {it.call, it.attempt, entry}, static_cast<int>(it.upstream)); },
+            std::visit(Overloaded{[&](const Dispatch::SendAttempt &it) {
+                                      sendAttempt(entry, {it.call, it.attempt, entry}, static_cast<int>(it.upstream));
+                                  },
                                   [&](const Dispatch::RefuseCall &it) { answerCaller(it.call, Ending::NotRun); },
                                   [&](const Dispatch::FinishCall &it) {
                                       const bool done = it.disposition == Dispatch::Disposition::Done;
@@ -330,7 +333,8 @@
         if (!swallowed) {
             after(travel(entry, worker), [this, job, worker] { workerArrive(worker, job); });
         }
-        at(std::max(m_now, m_calls[job.call].deadline), [this, job, worker] { attemptEnded(worker, job, {.outcome = AttemptOutcome::TimedOut}); });
+        at(std::max(m_now, m_calls[job.call].deadline),
+           [this, job, worker] { attemptEnded(worker, job, {.outcome = AttemptOutcome::TimedOut}); });
     }
 
     void cancelAttempt(int entry, const Dispatch::CancelAttempt &action)
@@ -477,7 +481,8 @@
     Millis serviceTime(const Worker &worker)
     {
         // Log-normal with the scenario's mean.
-        std::lognormal_distribution<double> time(std::log(m_scenario.meanService.count) - m_scenario.sigma * m_scenario.sigma / 2, m_scenario.sigma);
+        std::lognormal_distribution<double> time(std::log(m_scenario.meanService.count) - m_scenario.sigma * m_scenario.sigma / 2,
+                                                 m_scenario.sigma);
         return Millis{time(m_random) * worker.timeFactor(m_now)};
     }
 
@@ -558,7 +563,8 @@
     {
         switch (fault.kind) {
         case FaultKind::Flood:
-            startStream({.priority = fault.priority, .rate = fault.amount * m_scenario.capacity(), .partner = fault.partner, .flood = true});
+            startStream(
+                {.priority = fault.priority, .rate = fault.amount * m_scenario.capacity(), .partner = fault.partner, .flood = true});
             return;
         case FaultKind::LoseAnswers:
             m_loseShare = fault.amount;
--- a/bench/policy.cpp
+++ b/bench/policy.cpp
@@ -20,7 +20,10 @@
 ABSL_FLAG(int, seeds, 5, "seeds from 1 on");
 ABSL_FLAG(std::string, out, "", "folder for policy.csv and a plot for each scenario");
 ABSL_FLAG(bool, baselines, true, "run the baselines too, where no expectation needs them");
-ABSL_FLAG(std::string, known_red, "", "file of expectations that are known to fail: SCENARIO MEASURE in each line that starts with scenario");
+ABSL_FLAG(std::string,
+          known_red,
+          "",
+          "file of expectations that are known to fail: SCENARIO MEASURE in each line that starts with scenario");
 
 namespace Laburnummast::Model
 {
@@ -61,8 +64,11 @@
     for (std::size_t i = 0; i < scenarios.size(); ++i) {
         for (std::size_t policy = 0; policy < policyNames.size(); ++policy) {
             const auto which = static_cast<Policy>(policy);
-            const bool needed = which == Policy::Laburnummast || (which == Policy::Central ? needsCentral(scenarios[i]) : needsBaselines(scenarios[i]));
-            for (std::uint64_t seed = 1; (needed || absl::GetFlag(FLAGS_baselines)) && seed <= static_cast<std::uint64_t>(absl::GetFlag(FLAGS_seeds)); ++seed) {
+            const bool needed
+                = which == Policy::Laburnummast || (which == Policy::Central ? needsCentral(scenarios[i]) : needsBaselines(scenarios[i]));
+            for (std::uint64_t seed = 1;
+                 (needed || absl::GetFlag(FLAGS_baselines)) && seed <= static_cast<std::uint64_t>(absl::GetFlag(FLAGS_seeds));
+                 ++seed) {
                 runs.push_back({.scenario = i, .policy = which, .seed = seed, .measures = {}});
             }
         }
@@ -168,7 +174,9 @@
             const bool passedOver = !met && std::find(known.begin(), known.end(), scenarios[i].name + " " + it.measure) != known.end();
             ok = ok && (met || passedOver);
             std::cout << absl::StrFormat("%-9s %-22s %-18s %9.3f %s %g%s\n",
-                                         met ? "ok" : passedOver ? "known-red" : "FAILED",
+                                         met              ? "ok"
+                                             : passedOver ? "known-red"
+                                                          : "FAILED",
                                          scenarios[i].name,
                                          it.measure,
                                          value,
@@ -201,8 +209,8 @@
     stream << "policy,scenario,seed,priority,owner,metric,value\n";
     for (const auto &run : runs) {
         for (const auto &[measure, value] : run.measures) {
-            stream << nameOf(run.policy) << "," << scenarios[run.scenario].name << "," << run.seed << "," << priorityOf(measure) << "," << ownerOf(measure) << "," << measure
-                   << "," << value << "\n";
+            stream << nameOf(run.policy) << "," << scenarios[run.scenario].name << "," << run.seed << "," << priorityOf(measure) << ","
+                   << ownerOf(measure) << "," << measure << "," << value << "\n";
         }
     }
 }
@@ -236,7 +244,11 @@
                 const auto values = valuesOf(runs, i, static_cast<Policy>(policy), std::string(priority) + ".p99");
                 if (!values.empty()) {
                     const auto [least, most] = std::minmax_element(values.begin(), values.end());
-                    bars.push_back({.group = std::string(policyNames[policy]), .label = std::string(priority), .value = median(values), .least = *least, .most = *most});
+                    bars.push_back({.group = std::string(policyNames[policy]),
+                                    .label = std::string(priority),
+                                    .value = median(values),
+                                    .least = *least,
+                                    .most = *most});
                 }
             }
         }
--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -12,6 +12,7 @@
 // A queue older than this share of its target stands: the newest calls can still be met in time, the oldest cannot.
 constexpr double standingShare = 0.25;
 constexpr double hedgeQuantile = 0.95;
+constexpr double hopefulQuantile = 0.95;
 constexpr Millis minRetryAfter = 1_s;
 constexpr Millis maxRetryAfter = 30_s;
 constexpr std::size_t maxAttempts = 4;
@@ -121,7 +122,7 @@
 void Dispatcher::enqueue(Pending &call, bool next, Millis now)
 {
     const auto &request = call.request;
-    const Admission::QueuedCall queued{.id = request.id, .queuedAt = now, .expiresAt = request.deadline - m_router.typicalLatency()};
+    const Admission::QueuedCall queued{.id = request.id, .queuedAt = now, .expiresAt = latestStart(request, now)};
     auto &queue = m_queues[indexOf(request.priority)];
     call.queued = true;
     if (next) {
@@ -247,7 +248,7 @@
     if (result.outcome == AttemptOutcome::Answered || result.doNotRetry || !call.active.empty()) {
         return false;
     }
-    if (call.tried.size() >= maxAttempts || request.deadline - m_router.typicalLatency() <= now) {
+    if (call.tried.size() >= maxAttempts || latestStart(request, now) <= now) {
         return false;
     }
     // A request that was not kept can only go again if nothing of it left.
@@ -357,20 +358,29 @@
     m_drainAt = now;
 }
 
+// Work sent later than this would mostly be done for nothing. Where the deadline is short against the latency, half of
+// what is left is kept for the queue.
+Millis Dispatcher::latestStart(const CallRequest &request, Millis now) const
+{
+    const Millis usual = m_router.latencyQuantile(hopefulQuantile);
+    const Millis left = request.deadline - now;
+    return request.deadline - std::min(usual, left * 0.5);
+}
+
 // Newest-first queues answer newcomers at once, so only queues served in order can foretell a wait.
 bool Dispatcher::waitWouldPassDeadline(const CallRequest &request, Millis now) const
 {
     const auto &queue = m_queues[indexOf(request.priority)];
     const double rate = m_drainPerMs[indexOf(request.priority)];
     const auto ahead = queue.size(request.flow);
-    if (request.deadline - m_router.typicalLatency() <= now) {
+    if (latestStart(request, now) <= now) {
         return true;
     }
     if (ahead == 0 || rate <= 0 || orderOf(request.priority, now) == Admission::ServeOrder::NewestFirst) {
         return false;
     }
     const Millis wait{static_cast<double>(ahead) / (rate * queue.shareOf(request.flow, request.weight))};
-    return now + wait + m_router.typicalLatency() > request.deadline;
+    return now + wait > latestStart(request, now);
 }
 
 Millis Dispatcher::expectedWait(Priority priority) const
@@ -383,7 +393,7 @@
 
 Admission::ServeOrder Dispatcher::orderOf(Priority priority, Millis now) const
 {
-    if (priority != Priority::Urgent) {
+    if (priority == Priority::Deferrable) {
         return Admission::ServeOrder::OldestFirst;
     }
     const auto oldest = m_queues[indexOf(priority)].oldest();
--- a/src/core/dispatch/dispatcher.h
+++ b/src/core/dispatch/dispatcher.h
@@ -135,6 +135,7 @@
     void finish(Pending &call, AttemptNumber attempt, Disposition disposition, Millis now, Actions &actions);
     bool mayRetry(const Pending &call, const AttemptResult &result, Millis now);
     bool waitWouldPassDeadline(const CallRequest &request, Millis now) const;
+    Millis latestStart(const CallRequest &request, Millis now) const;
     Millis expectedWait(Priority priority) const;
     Admission::ServeOrder orderOf(Priority priority, Millis now) const;
     PlaceRule ruleOf(Priority priority) const;
