Tests of the core by subject; a section's line is that of its header

Cause: the core had no tests. One of the new ones failed: a section given twice was reported at the line of its first key (6), not of its header (5), since the INI library names a section only then.

Change: headers are read by themselves first, entries go to the last header above them.

--- a/src/core/config/inidocument.cpp
+++ b/src/core/config/inidocument.cpp
@@ -1,5 +1,7 @@
 #include "core/config/inidocument.h"
 
+#include "core/text.h"
+
 #include <algorithm>
 #include <cstring>
 #include <ini.h>
@@ -14,7 +16,6 @@
 {
     std::string_view rest;
     int line = 0;
-    int sectionLine = 0;
     IniDocument *document = nullptr;
 };
 
@@ -34,14 +35,17 @@
     return buf;
 }
 
-int takeEntry(void *user, const char *section, const char *key, const char *value)
+// The sections are known by then; an entry belongs to the last header above it.
+int takeEntry(void *user, const char * /*section*/, const char *key, const char *value)
 {
     auto &state = *static_cast<ParseState *>(user);
     auto &sections = state.document->sections;
-    if (sections.empty() || sections.back().name != section) {
-        sections.push_back({.name = section, .line = state.line, .entries = {}});
+    const auto isAbove = [&](const IniSection &it) { return it.line < state.line; };
+    const auto it = std::find_if(sections.rbegin(), sections.rend(), isAbove);
+    if (it == sections.rend()) {
+        return 0;
     }
-    sections.back().entries.push_back({.key = key, .value = value == nullptr ? "" : value, .line = state.line});
+    it->entries.push_back({.key = key, .value = value == nullptr ? "" : value, .line = state.line});
     return 1;
 }
 
@@ -57,24 +61,18 @@
     }
 }
 
-// A section without entries never reaches the handler, so headers are read once more by themselves.
-void addEmptySections(std::string_view text, IniDocument &document)
+// The library tells of a section only with its first entry; headers are read here, so that each has its own line.
+void findSections(std::string_view text, IniDocument &document)
 {
     int line = 0;
     while (!text.empty()) {
         ++line;
-        const auto end = std::min(text.find('\n'), text.size());
-        auto it = text.substr(0, end);
-        text.remove_prefix(std::min(end + 1, text.size()));
+        const auto [first, rest] = Text::splitOnce(text, '\n');
+        text = rest;
+        const auto it = Text::trim(first);
         const auto close = it.find(']');
-        if (it.empty() || it.front() != '[' || close == std::string_view::npos) {
-            continue;
-        }
-        const std::string name(it.substr(1, close - 1));
-        const auto same = [&](const IniSection &section) { return section.name == name; };
-        auto &sections = document.sections;
-        if (std::find_if(sections.begin(), sections.end(), same) == sections.end()) {
-            sections.push_back({.name = name, .line = line, .entries = {}});
+        if (it.starts_with('[') && close != std::string_view::npos) {
+            document.sections.push_back({.name = std::string(it.substr(1, close - 1)), .line = line, .entries = {}});
         }
     }
 }
@@ -84,6 +82,7 @@
 IniDocument parseIni(std::string_view text, std::string_view source)
 {
     IniDocument document{.source = std::string(source), .sections = {}, .errors = {}};
+    findSections(text, document);
     ParseState state{.rest = text, .document = &document};
     // The handler gets the parser's own user pointer, the reader gets the stream: both are the same state.
     const int badLine = ini_parse_stream(readLine, &state, takeEntry, &state);
@@ -93,7 +92,6 @@
                                    .line = badLine,
                                    .allowed = "[section], key = value, or a comment after ;"});
     }
-    addEmptySections(text, document);
     findDuplicateSections(document);
     return document;
 }
--- /dev/null
+++ b/tests/admission/fairqueue.cpp
@@ -0,0 +1,130 @@
+#include "core/admission/fairqueue.h"
+#include "core/admission/floorcredits.h"
+
+#include <doctest/doctest.h>
+#include <map>
+#include <rapidcheck.h>
+
+using namespace Laburnummast;
+using namespace Laburnummast::Admission;
+
+namespace
+{
+
+QueuedCall callAt(CallId id, Millis queuedAt = {}, Millis expiresAt = 1000_s)
+{
+    return {.id = id, .queuedAt = queuedAt, .expiresAt = expiresAt};
+}
+
+}
+
+TEST_CASE("Flows that wait share the service by their weights")
+{
+    rc::check([] {
+        const auto weightA = *rc::gen::inRange(1, 9);
+        const auto weightB = *rc::gen::inRange(1, 9);
+        FlowClock clock;
+        FairQueue queue(clock);
+        for (CallId i = 0; i < 2000; ++i) {
+            queue.push(1, weightA, callAt(2 * i));
+            queue.push(2, weightB, callAt(2 * i + 1));
+        }
+        std::map<CallId, int> served;
+        constexpr int rounds = 900;
+        for (int i = 0; i < rounds; ++i) {
+            ++served[queue.pop(ServeOrder::OldestFirst)->id % 2];
+        }
+        const double share = static_cast<double>(served[0]) / rounds;
+        const double wanted = static_cast<double>(weightA) / (weightA + weightB);
+        RC_ASSERT(std::abs(share - wanted) < 0.01);
+    });
+}
+
+TEST_CASE("A flow that was idle has not saved up service")
+{
+    FlowClock clock;
+    FairQueue queue(clock);
+    for (CallId i = 0; i < 200; ++i) {
+        queue.push(1, 1, callAt(i));
+    }
+    for (int i = 0; i < 100; ++i) {
+        queue.pop(ServeOrder::OldestFirst);
+    }
+    for (CallId i = 1000; i < 1100; ++i) {
+        queue.push(2, 1, callAt(i));
+    }
+    int late = 0;
+    for (int i = 0; i < 20; ++i) {
+        late += queue.pop(ServeOrder::OldestFirst)->id >= 1000 ? 1 : 0;
+    }
+    CHECK(late <= 11);
+    CHECK(late >= 9);
+}
+
+TEST_CASE("The newest call of a flow goes first where that is asked for")
+{
+    FlowClock clock;
+    FairQueue queue(clock);
+    queue.push(1, 1, callAt(1));
+    queue.push(1, 1, callAt(2));
+    CHECK(queue.pop(ServeOrder::NewestFirst)->id == 2);
+    queue.pushNext(1, 1, callAt(3), ServeOrder::NewestFirst);
+    CHECK(queue.pop(ServeOrder::NewestFirst)->id == 3);
+    CHECK(queue.pop(ServeOrder::NewestFirst)->id == 1);
+    CHECK_FALSE(queue.pop(ServeOrder::NewestFirst));
+}
+
+TEST_CASE("A full queue drops the oldest call of the flow that waits for the most")
+{
+    FlowClock clock;
+    FairQueue queue(clock);
+    queue.push(1, 1, callAt(10));
+    for (CallId i = 20; i < 25; ++i) {
+        queue.push(2, 1, callAt(i));
+    }
+    CHECK(queue.dropFromLongest()->id == 20);
+    CHECK(queue.size(1) == 1);
+    CHECK(queue.size() == 5);
+}
+
+TEST_CASE("Expired calls are taken out and only those")
+{
+    FlowClock clock;
+    FairQueue queue(clock);
+    queue.push(1, 1, callAt(1, 0_ms, 10_ms));
+    queue.push(1, 1, callAt(2, 0_ms, 30_ms));
+    queue.push(2, 1, callAt(3, 0_ms, 20_ms));
+    std::vector<QueuedCall> expired;
+    queue.takeExpired(20_ms, expired);
+    CHECK(expired.size() == 2);
+    CHECK(queue.size() == 1);
+    CHECK(queue.remove(2));
+    CHECK_FALSE(queue.remove(2));
+    CHECK(queue.empty());
+}
+
+TEST_CASE("A floor keeps its share however much more urgent work waits")
+{
+    FloorCredits credits({0, 0.08, 0.04});
+    std::array<int, priorityCount> served{};
+    constexpr int rounds = 10000;
+    for (int i = 0; i < rounds; ++i) {
+        const auto next = credits.entitled(Priority::Normal) ? Priority::Normal
+            : credits.entitled(Priority::Deferrable)         ? Priority::Deferrable
+                                                             : Priority::Urgent;
+        credits.dispatched(next, {true, true, true});
+        ++served[indexOf(next)];
+    }
+    CHECK(served[1] >= rounds * 8 / 100 - 1);
+    CHECK(served[2] >= rounds * 4 / 100 - 1);
+    CHECK(served[1] + served[2] <= rounds * 13 / 100);
+}
+
+TEST_CASE("A floor saves nothing up while nothing waits")
+{
+    FloorCredits credits({0, 0.5, 0});
+    for (int i = 0; i < 100; ++i) {
+        credits.dispatched(Priority::Urgent, {true, false, false});
+    }
+    CHECK_FALSE(credits.entitled(Priority::Normal));
+}
--- /dev/null
+++ b/tests/config/configstate.cpp
@@ -0,0 +1,156 @@
+#include "core/config/configstate.h"
+#include "support/notes.h"
+
+#include <doctest/doctest.h>
+#include <optional>
+#include <rapidcheck.h>
+
+using namespace Laburnummast;
+using namespace Laburnummast::Config;
+using namespace Laburnummast::Tests;
+
+TEST_CASE("An accepted note is in force at its offset")
+{
+    ConfigState state;
+    CHECK(accepted(state.apply(4, noteText("a", addOwner("o") + addService("s", "o")))));
+    CHECK(state.offset() == 4);
+    CHECK(state.revision() == 4);
+    const auto *service = state.find({EntityKind::Service, "s"});
+    REQUIRE(service != nullptr);
+    CHECK(service->revision == 4);
+    CHECK(std::get<Service>(service->entity).owner == "o");
+}
+
+TEST_CASE("A note repeated after a lost answer changes nothing")
+{
+    ConfigState state;
+    const auto text = noteText("a", addOwner("o"));
+    state.apply(0, text);
+    const auto verdict = state.apply(1, text);
+    REQUIRE(std::holds_alternative<Repeated>(verdict));
+    CHECK(std::get<Repeated>(verdict).first == 0);
+    CHECK(state.revision() == 0);
+}
+
+TEST_CASE("Of two racing notes the later in the log is rejected with its reason")
+{
+    ConfigState state;
+    state.apply(0, noteText("base", addOwner("o")));
+    CHECK(accepted(state.apply(1, noteText("ana", changeOwner("o", 0, 2)))));
+    const auto verdict = state.apply(2, noteText("bob", changeOwner("o", 0, 3)));
+    REQUIRE(std::holds_alternative<Rejected>(verdict));
+    CHECK(reasonOf(verdict) == RejectionKind::StaleBase);
+    CHECK(std::get<Owner>(state.find({EntityKind::Owner, "o"})->entity).weight == 2);
+}
+
+TEST_CASE("A rejected note changes nothing at all")
+{
+    ConfigState state;
+    state.apply(0, noteText("base", addOwner("o")));
+    const auto verdict = state.apply(1, noteText("half", addOwner("p") + addService("s", "nobody")));
+    CHECK(reasonOf(verdict) == RejectionKind::UnknownReference);
+    CHECK(state.find({EntityKind::Owner, "p"}) == nullptr);
+}
+
+TEST_CASE("What others still name cannot be withdrawn")
+{
+    ConfigState state;
+    state.apply(0, noteText("base", addOwner("o") + addService("s", "o")));
+    CHECK(reasonOf(state.apply(1, noteText("w", withdrawOwner("o", 0)))) == RejectionKind::StillReferenced);
+    CHECK(accepted(state.apply(2, noteText("both", withdrawOwner("o", 0) + "[withdrawn service s]\nbase = 0\n"))));
+    CHECK(state.entities().empty());
+}
+
+TEST_CASE("Adding what exists, changing what does not and naming a thing twice are each refused")
+{
+    ConfigState state;
+    state.apply(0, noteText("base", addOwner("o")));
+    CHECK(reasonOf(state.apply(1, noteText("1", addOwner("o")))) == RejectionKind::AlreadyExists);
+    CHECK(reasonOf(state.apply(2, noteText("2", changeOwner("p", 0, 2)))) == RejectionKind::DoesNotExist);
+    CHECK(reasonOf(state.apply(3, noteText("3", ""))) == RejectionKind::EmptyNote);
+    CHECK(reasonOf(state.apply(4, noteText("4", changeOwner("o", 0, 2) + withdrawOwner("o", 0)))) == RejectionKind::RepeatedKey);
+}
+
+TEST_CASE("An unreadable record moves the offset and nothing else")
+{
+    ConfigState state;
+    state.apply(0, noteText("base", addOwner("o")));
+    const auto hash = state.hash();
+    for (const auto *poison : {"", "\x01\x02\xff", "[note]\nformat = 9\n", "[note]\nid = x\n"}) {
+        CHECK(std::holds_alternative<Unreadable>(state.apply(state.offset() + 1, poison)));
+    }
+    CHECK(state.hash() == hash);
+    CHECK(state.offset() == 4);
+    CHECK(accepted(state.apply(5, noteText("after", addOwner("p")))));
+}
+
+TEST_CASE("A snapshot gives the same state, verdicts and hash")
+{
+    ConfigState state;
+    state.apply(0, noteText("a", addOwner("o") + addService("s", "o")));
+    state.apply(1, noteText("b", changeOwner("o", 7, 2)));
+    auto read = ConfigState::readSnapshot(state.writeSnapshot());
+    REQUIRE(std::holds_alternative<ConfigState>(read));
+    auto &copy = std::get<ConfigState>(read);
+    CHECK(copy.hash() == state.hash());
+    CHECK(copy.offset() == 1);
+    CHECK(std::holds_alternative<Repeated>(copy.apply(2, noteText("a", addOwner("o")))));
+    CHECK(copy.findOutcome("b")->reasons.at(0).kind == RejectionKind::StaleBase);
+}
+
+TEST_CASE("A damaged snapshot is refused with its reason")
+{
+    ConfigState state;
+    state.apply(0, noteText("a", addOwner("o")));
+    auto bytes = state.writeSnapshot();
+    CHECK(std::get<SnapshotError>(ConfigState::readSnapshot("nonsense")) != SnapshotError::FutureFormat);
+    CHECK(std::get<SnapshotError>(ConfigState::readSnapshot(bytes.substr(0, bytes.size() / 2))) == SnapshotError::Damaged);
+    auto altered = bytes;
+    const auto at = altered.find("weight");
+    altered[at + 14] = altered[at + 14] == '1' ? '2' : '1';
+    CHECK(std::holds_alternative<SnapshotError>(ConfigState::readSnapshot(altered)));
+}
+
+TEST_CASE("Random notes give the same hash whatever snapshot a process starts from")
+{
+    rc::check([](const std::vector<std::uint8_t> &choices) {
+        ConfigState whole;
+        std::optional<ConfigState> started;
+        const auto start = choices.empty() ? 0 : choices.front() % choices.size();
+        for (std::size_t i = 0; i < choices.size(); ++i) {
+            const auto name = "o" + std::to_string(choices[i] % 5);
+            const auto *present = whole.find({EntityKind::Owner, name});
+            const auto base = present == nullptr ? 0 : present->revision - choices[i] % 2;
+            const auto id = "n" + std::to_string(choices[i] % 3 == 0 ? i / 2 : i);
+            const auto sections = present == nullptr ? addOwner(name)
+                : choices[i] % 4 == 3                ? withdrawOwner(name, base)
+                                                     : changeOwner(name, base, 1 + choices[i] % 9);
+            const auto offset = static_cast<Offset>(2 * i);
+            whole.apply(offset, noteText(id, sections));
+            if (started) {
+                started->apply(offset, noteText(id, sections));
+            } else if (i == start) {
+                started = std::get<ConfigState>(ConfigState::readSnapshot(whole.writeSnapshot()));
+            }
+        }
+        RC_ASSERT(!started || started->hash() == whole.hash());
+        RC_ASSERT(!started || started->entities().size() == whole.entities().size());
+    });
+}
+
+TEST_CASE("Random bytes never pass for a snapshot")
+{
+    rc::check([](const std::string &bytes) { RC_ASSERT(std::holds_alternative<SnapshotError>(ConfigState::readSnapshot(bytes))); });
+}
+
+TEST_CASE("A plan leads from what is in force to the declarations, and then has nothing left to do")
+{
+    ConfigState state;
+    state.apply(0, noteText("a", addOwner("o") + addOwner("gone") + addService("s", "o")));
+    const auto declared = parseDeclarations("[owner o]\nweight = 4\n[service s]\nowner = o\n[owner fresh]\n", "d.ini");
+    REQUIRE(std::holds_alternative<Declarations>(declared));
+    const auto note = planNote(state, std::get<Declarations>(declared), "plan-1", "ana");
+    CHECK(note.changes.size() == 3);
+    CHECK(accepted(state.apply(1, writeNote(note))));
+    CHECK(planNote(state, std::get<Declarations>(declared), "plan-2", "ana").changes.empty());
+}
--- /dev/null
+++ b/tests/membership/membership.cpp
@@ -0,0 +1,155 @@
+#include "membership/fakenetwork.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+
+using namespace Laburnummast;
+using namespace Laburnummast::Tests;
+using Membership::MemberState;
+
+namespace
+{
+
+constexpr int hosts = 16;
+
+}
+
+TEST_CASE("Members that know one seed come to know everybody")
+{
+    FakeNetwork network(hosts, 1);
+    network.run(10_s);
+    for (int i = 0; i < hosts; ++i) {
+        CHECK(network.member(i).serving().size() == hosts);
+    }
+}
+
+TEST_CASE("A dead member is known as dead everywhere")
+{
+    FakeNetwork network(hosts, 2);
+    network.run(10_s);
+    network.setRunning(5, false);
+    network.run(15_s);
+    CHECK(network.allSee(5, MemberState::Dead));
+    CHECK(network.deaths == hosts - 1);
+}
+
+TEST_CASE("A rack that dies at once is known as dead, and only the rack")
+{
+    FakeNetwork network(hosts, 3);
+    network.run(10_s);
+    for (const int it : {4, 5, 6, 7}) {
+        network.setRunning(it, false);
+    }
+    network.run(25_s);
+    for (const int it : {4, 5, 6, 7}) {
+        CHECK(network.allSee(it, MemberState::Dead));
+    }
+    CHECK(network.member(0).serving().size() == hosts - 4);
+}
+
+TEST_CASE("A member that leaves is out of the serving list at once and gone for good after")
+{
+    FakeNetwork network(hosts, 4);
+    network.run(10_s);
+    network.act(3, [](auto &it, Millis now, auto &actions) { it.leave(now, actions); });
+    network.run(2_s);
+    for (int i = 0; i < hosts; ++i) {
+        const auto serving = network.member(i).serving();
+        CHECK(std::none_of(serving.begin(), serving.end(), [](const auto &it) { return it.info.host == "host-3"; }));
+    }
+    network.act(3, [](auto &it, Millis now, auto &actions) { it.leftNow(now, actions); });
+    network.setRunning(3, false);
+    network.run(3_s);
+    CHECK(network.allSee(3, MemberState::Left));
+    CHECK(network.deaths == 0);
+}
+
+TEST_CASE("A restarted member is alive again at its new incarnation")
+{
+    FakeNetwork network(hosts, 5);
+    network.run(10_s);
+    network.setRunning(5, false);
+    network.run(15_s);
+    network.start(5, 9000000);
+    network.run(10_s);
+    CHECK(network.allSee(5, MemberState::Alive));
+    CHECK(network.member(0).find("host-5")->incarnation == 9000000);
+}
+
+TEST_CASE("A paused process that comes back condemns nobody and is taken back")
+{
+    FakeNetwork network(hosts, 6);
+    network.run(10_s);
+    network.setRunning(5, false);
+    network.run(20_s);
+    CHECK(network.allSee(5, MemberState::Dead));
+    const auto deathsBefore = network.deaths;
+    network.setRunning(5, true);
+    network.run(10_s);
+    CHECK(network.deaths == deathsBefore);
+    CHECK(network.allSee(5, MemberState::Alive));
+    CHECK(network.member(5).serving().size() == hosts);
+}
+
+TEST_CASE("A path that fails one way between two members kills neither")
+{
+    FakeNetwork network(hosts, 7);
+    network.run(10_s);
+    network.passes = [](int from, int to) { return !(from == 2 && to == 9); };
+    network.run(60_s);
+    CHECK(network.deaths == 0);
+    CHECK(network.seen(2, 9) == MemberState::Alive);
+}
+
+TEST_CASE("Two regions that lose each other find each other again")
+{
+    FakeNetwork network(hosts, 8);
+    network.run(10_s);
+    network.passes = [](int from, int to) { return (from < 8) == (to < 8); };
+    network.run(60_s);
+    CHECK(network.member(0).serving().size() == 8);
+    CHECK(network.member(15).serving().size() == 8);
+    network.passes = [](int, int) { return true; };
+    network.run(40_s);
+    for (int i = 0; i < hosts; ++i) {
+        CHECK(network.member(i).serving().size() == hosts);
+    }
+}
+
+TEST_CASE("A fifth of all datagrams lost kills nobody for good")
+{
+    FakeNetwork network(hosts, 9);
+    network.run(10_s);
+    network.loss = 0.2;
+    network.run(300_s);
+    network.loss = 0;
+    network.run(20_s);
+    for (int i = 0; i < hosts; ++i) {
+        CHECK(network.member(i).serving().size() == hosts);
+    }
+    MESSAGE("false deaths in 300 s at 20% loss, over 16 viewers: ", network.deaths);
+}
+
+TEST_CASE("A member's new configuration position reaches everybody within its four seconds")
+{
+    FakeNetwork network(hosts, 10);
+    network.run(10_s);
+    network.act(3, [](auto &it, Millis now, auto &actions) { it.setConfig({.offset = 42, .hash = 7}, now, actions); });
+    network.run(4_s);
+    for (int i = 0; i < hosts; ++i) {
+        if (i != 3) {
+            CHECK(network.member(i).find("host-3")->config.offset == 42);
+        }
+    }
+}
+
+TEST_CASE("A host list that is empty or wrong removes nobody")
+{
+    FakeNetwork network(hosts, 11);
+    network.run(10_s);
+    const std::vector<Membership::Address> wrong{{.ip = "10.0.0.0", .port = 1}};
+    network.member(4).addSeeds({});
+    network.member(4).addSeeds(wrong);
+    network.run(10_s);
+    CHECK(network.member(4).serving().size() == hosts);
+}
--- /dev/null
+++ b/tests/routing/rendezvous.cpp
@@ -0,0 +1,98 @@
+#include "core/routing/rendezvous.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+#include <set>
+
+using namespace Laburnummast;
+using namespace Laburnummast::Routing;
+
+namespace
+{
+
+std::vector<Candidate> candidates(int count, int domains)
+{
+    std::vector<Candidate> result;
+    for (int i = 0; i < count; ++i) {
+        result.push_back({.name = "host-" + std::to_string(i), .domain = "domain-" + std::to_string(i % domains)});
+    }
+    return result;
+}
+
+std::set<std::string> chosenNames(const std::string &key, const std::vector<Candidate> &from, std::size_t count)
+{
+    std::set<std::string> names;
+    for (const auto it : rendezvousSet(key, from, count)) {
+        names.insert(from[it].name);
+    }
+    return names;
+}
+
+}
+
+TEST_CASE("A set is spread over as many failure domains as it can be")
+{
+    const auto from = candidates(16, 4);
+    for (int service = 0; service < 50; ++service) {
+        std::set<std::string> domains;
+        for (const auto it : rendezvousSet("service-" + std::to_string(service), from, 4)) {
+            domains.insert(from[it].domain);
+        }
+        CHECK(domains.size() == 4);
+    }
+}
+
+TEST_CASE("A lost member changes a set by one at most, and only sets that had it")
+{
+    rc::check([] {
+        const auto key = "service-" + std::to_string(*rc::gen::inRange(0, 1000));
+        auto from = candidates(*rc::gen::inRange(5, 40), 4);
+        const auto before = chosenNames(key, from, 4);
+        const auto lost = *rc::gen::inRange<std::size_t>(0, from.size());
+        const auto name = from[lost].name;
+        from.erase(from.begin() + static_cast<std::ptrdiff_t>(lost));
+        const auto after = chosenNames(key, from, 4);
+        std::vector<std::string> kept;
+        std::set_intersection(before.begin(), before.end(), after.begin(), after.end(), std::back_inserter(kept));
+        RC_ASSERT(kept.size() >= (before.contains(name) ? 3U : 4U));
+    });
+}
+
+TEST_CASE("Parts are even and every item has exactly one owner")
+{
+    rc::check([] {
+        const auto itemCount = *rc::gen::inRange(0, 60);
+        const auto memberCount = *rc::gen::inRange(1, 9);
+        std::vector<std::string> items;
+        std::vector<std::string> members;
+        for (int i = 0; i < itemCount; ++i) {
+            items.push_back("upstream-" + std::to_string(i));
+        }
+        for (int i = 0; i < memberCount; ++i) {
+            members.push_back("host-" + std::to_string(i));
+        }
+        const auto parts = balancedParts(items, members);
+        std::vector<int> sizes(members.size(), 0);
+        for (const auto it : parts) {
+            ++sizes.at(it);
+        }
+        const auto most = *std::max_element(sizes.begin(), sizes.end());
+        RC_ASSERT(most <= (itemCount + memberCount - 1) / memberCount);
+    });
+}
+
+TEST_CASE("The order of members does not change anybody's part")
+{
+    std::vector<std::string> items;
+    for (int i = 0; i < 30; ++i) {
+        items.push_back("upstream-" + std::to_string(i));
+    }
+    const std::vector<std::string> members{"a", "b", "c", "d"};
+    const std::vector<std::string> reversed{"d", "c", "b", "a"};
+    const auto parts = balancedParts(items, members);
+    const auto other = balancedParts(items, reversed);
+    for (std::size_t i = 0; i < items.size(); ++i) {
+        CHECK(members[parts[i]] == reversed[other[i]]);
+    }
+}
