Tests over real sockets; bodies in pieces on the heap; an answer survives an unread body

Cause: the first tests over sockets found two faults. Buffers of 64 KB on the stack overran the threads of the server library, which have 100 KB (a 2 MB body to a route of 1 MB ended the process). And a 413 sent with the body unread was lost to the reset that follows the close.

Change: PieceBuffer on the heap; what is left of a refused body is read and dropped (bounded).

Conclusion: kept; both faults have their tests (What cannot be served ..., A body of 64 MiB ...).

--- a/Makefile
+++ b/Makefile
@@ -14,19 +14,19 @@
 	@scripts/demo build
 
 check: build
-	@ctest --test-dir build --output-on-failure
+	@ctest --test-dir build --output-on-failure -j 4
 
 check-asan:
 	@scripts/install-deps
 	@cmake -S . -B build-asan -G Ninja -DCMAKE_BUILD_TYPE=Debug -DSANITIZE=address,undefined > /dev/null
 	@cmake --build build-asan
-	@ctest --test-dir build-asan --output-on-failure
+	@ctest --test-dir build-asan --output-on-failure -j 4
 
 check-tsan:
 	@scripts/install-deps
 	@cmake -S . -B build-tsan -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo -DSANITIZE=thread > /dev/null
 	@cmake --build build-tsan
-	@ctest --test-dir build-tsan --output-on-failure
+	@ctest --test-dir build-tsan --output-on-failure -j 4
 
 bench: build
 	@scripts/bench build
--- /dev/null
+++ b/bench/overhead.cpp
@@ -0,0 +1,129 @@
+// Latency of calls over kept-alive connections: straight to an upstream, or through a daemon, by the same load.
+
+#include "core/config/address.h"
+#include "core/text.h"
+#include "net/httpclient.h"
+#include "process/wallclock.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/strings/str_format.h>
+#include <algorithm>
+#include <atomic>
+#include <iostream>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+ABSL_FLAG(std::string, direct, "", "address of the upstream");
+ABSL_FLAG(std::string, through, "", "entry address of the daemon");
+ABSL_FLAG(std::string, target, "/v1/call/contatore/occupancy", "path through the daemon");
+ABSL_FLAG(std::string, credential, "desks-secret", "credential of the caller");
+ABSL_FLAG(std::string, connections, "1,16,64", "numbers of connections to try");
+ABSL_FLAG(int, seconds, 3, "length of each measurement");
+ABSL_FLAG(double, rate, 2000, "calls a second over all connections; 0 for as fast as they go");
+
+namespace Laburnummast
+{
+namespace
+{
+
+constexpr Millis timeout = 5_s;
+constexpr std::size_t maxAnswer = 1 << 20;
+
+struct Latencies
+{
+    std::vector<double> millis;
+    int failed = 0;
+
+    double quantile(double q) const
+    {
+        return millis.empty() ? 0 : millis[std::min(millis.size() - 1, static_cast<std::size_t>(q * static_cast<double>(millis.size())))];
+    }
+};
+
+Latencies measure(const Net::Address &address, const Net::ClientRequest &request, int connections)
+{
+    Latencies all;
+    std::mutex mutex;
+    std::vector<std::thread> threads;
+    const auto start = Process::steadyNow() + 300_ms;
+    const auto until = start + Millis{1000.0 * absl::GetFlag(FLAGS_seconds)};
+    const double rate = absl::GetFlag(FLAGS_rate);
+    for (int i = 0; i < connections; ++i) {
+        threads.emplace_back([&, i] {
+            Latencies own;
+            auto opened = Net::HttpConnection::connect(address);
+            if (std::holds_alternative<Net::HttpError>(opened)) {
+                const std::lock_guard lock(mutex);
+                ++all.failed;
+                return;
+            }
+            auto &connection = std::get<Net::HttpConnection>(opened);
+            const Millis gap{rate > 0 ? 1000.0 * connections / rate : 0};
+            // Evenly spread, so that both ways meet the same load.
+            auto due = start + gap * (static_cast<double>(i) / connections);
+            while (due < until) {
+                std::this_thread::sleep_for(Process::toChrono(due - Process::steadyNow()));
+                const auto sent = Process::steadyNow();
+                const auto answer = connection.exchange(request, timeout, maxAnswer);
+                const auto *response = std::get_if<Net::ClientResponse>(&answer);
+                if (response == nullptr || response->head.status != 200) {
+                    ++own.failed;
+                    break;
+                }
+                own.millis.push_back((Process::steadyNow() - sent).count);
+                due = rate > 0 ? due + gap : Process::steadyNow();
+            }
+            const std::lock_guard lock(mutex);
+            all.failed += own.failed;
+            all.millis.insert(all.millis.end(), own.millis.begin(), own.millis.end());
+        });
+    }
+    for (auto &it : threads) {
+        it.join();
+    }
+    std::sort(all.millis.begin(), all.millis.end());
+    return all;
+}
+
+int run()
+{
+    const auto direct = Config::parseAddress(absl::GetFlag(FLAGS_direct));
+    const auto through = Config::parseAddress(absl::GetFlag(FLAGS_through));
+    if (!direct || !through) {
+        std::cerr << "bench-overhead: --direct and --through are needed\n";
+        return 2;
+    }
+    const Net::ClientRequest plain{.method = "GET", .target = "/occupancy", .headers = {{.name = "X-Request-Id", .value = "bench"}}};
+    const Net::ClientRequest called{.method = "GET",
+                                    .target = absl::GetFlag(FLAGS_target),
+                                    .headers = {{.name = "Authorization", .value = "Bearer " + absl::GetFlag(FLAGS_credential)}}};
+    std::cout << "connections,calls,direct_p50_ms,direct_p99_ms,through_p50_ms,through_p99_ms,added_p50_ms,added_p99_ms,failed\n";
+    for (const auto text : Text::split(absl::GetFlag(FLAGS_connections), ',')) {
+        const auto connections = static_cast<int>(Text::parseInteger(text).value_or(1));
+        const auto a = measure(*direct, plain, connections);
+        const auto b = measure(*through, called, connections);
+        std::cout << absl::StrFormat("%d,%d,%.3f,%.3f,%.3f,%.3f,%.3f,%.3f,%d\n",
+                                     connections,
+                                     b.millis.size(),
+                                     a.quantile(0.5),
+                                     a.quantile(0.99),
+                                     b.quantile(0.5),
+                                     b.quantile(0.99),
+                                     b.quantile(0.5) - a.quantile(0.5),
+                                     b.quantile(0.99) - a.quantile(0.99),
+                                     a.failed + b.failed)
+                  << std::flush;
+    }
+    return 0;
+}
+
+}
+}
+
+int main(int argc, char **argv)
+{
+    absl::ParseCommandLine(argc, argv);
+    return Laburnummast::run();
+}
--- a/src/cli/client.cpp
+++ b/src/cli/client.cpp
@@ -24,7 +24,7 @@
 
 std::optional<Net::Address> addressFlag(std::string_view flag, const std::string &text)
 {
-    const auto address = Config::parseAddress(text);
+    auto address = Config::parseAddress(text);
     if (!address) {
         complain(Text::concat("--", flag, "=IP:PORT is needed"));
     }
--- a/src/core/idempotency/keytable.cpp
+++ b/src/core/idempotency/keytable.cpp
@@ -43,7 +43,7 @@
     const auto it = m_entries.find(std::string(key));
     if (it != m_entries.end()) {
         // A claim by this member itself is the repeat that runs here; a foreign one refuses the late first attempt.
-        const auto verdict = verdictOf(it->second, m_self);
+        auto verdict = verdictOf(it->second, m_self);
         if (std::holds_alternative<RunIt>(verdict)) {
             it->second.state = State::InFlight;
         }
--- a/src/daemon/attempt.cpp
+++ b/src/daemon/attempt.cpp
@@ -1,6 +1,7 @@
 #include "daemon/attempt.h"
 
 #include "core/text.h"
+#include "net/piecebuffer.h"
 #include "process/wallclock.h"
 
 #include <algorithm>
@@ -13,7 +14,6 @@
 
 using Dispatch::AttemptOutcome;
 
-constexpr std::size_t pieceBytes = 64 << 10;
 constexpr int statusServiceUnavailable = 503;
 constexpr int statusServerError = 500;
 // An idle connection may have been closed or gone silent meanwhile; what must not run twice takes a recent one or a new one.
@@ -81,9 +81,9 @@
 {
     const bool chunked = !call.streamLength;
     std::int64_t total = static_cast<std::int64_t>(call.body.size());
-    std::array<char, pieceBytes> buf;
+    Net::PieceBuffer buf;
     while (true) {
-        const auto n = call.stream->read(buf);
+        const auto n = call.stream->read(buf.room());
         if (n < 0) {
             call.bodyFailure = Net::BodyError::BrokenOff;
             return AttemptOutcome::Cancelled;
@@ -96,7 +96,7 @@
             call.bodyFailure = Net::BodyError::TooLarge;
             return AttemptOutcome::Cancelled;
         }
-        if (!connection.sendPiece({buf.data(), static_cast<std::size_t>(n)}, chunked)) {
+        if (!connection.sendPiece(buf.first(static_cast<std::size_t>(n)), chunked)) {
             return AttemptOutcome::Broken;
         }
     }
@@ -112,16 +112,16 @@
     if (length && *length > static_cast<std::int64_t>(limit)) {
         return false;
     }
-    std::array<char, pieceBytes> buf;
+    Net::PieceBuffer buf;
     while (true) {
-        const auto n = connection.read(buf);
+        const auto n = connection.read(buf.room());
         if (n < 0) {
             return Net::HttpError::BrokenOff;
         }
         if (n == 0) {
             return true;
         }
-        answer.body.append(buf.data(), static_cast<std::size_t>(n));
+        answer.body.append(buf.first(static_cast<std::size_t>(n)));
         if (!length && answer.body.size() > limit) {
             return false;
         }
--- a/src/daemon/callhandler.cpp
+++ b/src/daemon/callhandler.cpp
@@ -2,6 +2,7 @@
 
 #include "core/config/address.h"
 #include "core/text.h"
+#include "net/piecebuffer.h"
 #include "process/wallclock.h"
 
 #include <algorithm>
@@ -17,8 +18,8 @@
 
 constexpr std::string_view entriesPath = "/v1/entries";
 constexpr std::string_view callPrefix = "/v1/call/";
-constexpr std::size_t pieceBytes = 64 << 10;
 constexpr std::size_t maxIdLength = 128;
+constexpr std::size_t mostDiscarded = 80 << 20;
 constexpr std::size_t maxKeyLength = 256;
 
 struct FailureShape
@@ -242,16 +243,16 @@
         fail(call, CallFailure::NotRun, "no memory for the body", 1_s);
         return false;
     }
-    std::array<char, pieceBytes> buf;
+    Net::PieceBuffer buf;
     bool ended = !call.request.hasBody();
     while (!ended && static_cast<std::int64_t>(context.body.size()) < buffered) {
-        const auto n = call.request.read(buf);
+        const auto n = call.request.read(buf.room());
         if (n < 0) {
             fail(call, CallFailure::BadRequest, "the body broke off");
             return false;
         }
         ended = n == 0;
-        context.body.append(buf.data(), static_cast<std::size_t>(n));
+        context.body.append(buf.first(static_cast<std::size_t>(n)));
         m_counters.bufferedBytes += n;
     }
     if (static_cast<std::int64_t>(context.body.size()) > call.route->maxBodyBytes) {
@@ -433,13 +434,13 @@
                                    .body = {}};
     Net::sendHead(call.request, head, length);
     bool whole = Net::sendPiece(call.request, answer.body, !length);
-    std::array<char, pieceBytes> buf;
+    Net::PieceBuffer buf;
     while (whole) {
-        const auto n = live.read(buf);
+        const auto n = live.read(buf.room());
         if (n == 0) {
             break;
         }
-        whole = n > 0 && Net::sendPiece(call.request, {buf.data(), static_cast<std::size_t>(n)}, !length);
+        whole = n > 0 && Net::sendPiece(call.request, buf.first(static_cast<std::size_t>(n)), !length);
     }
     if (whole && !length) {
         whole = Net::sendLastPiece(call.request);
@@ -475,10 +476,14 @@
     if (failure == CallFailure::WrongCredential) {
         response.headers.push_back({.name = "WWW-Authenticate", .value = "Bearer"});
     }
-    if (call.request.hasBody() && !call.bodyRead) {
+    const bool bodyLeft = call.request.hasBody() && !call.bodyRead;
+    if (bodyLeft) {
         call.request.closeAfter();
     }
     Net::sendResponse(call.request, response);
+    if (bodyLeft) {
+        Net::discardBody(call.request, mostDiscarded);
+    }
 }
 
 }
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -1,8 +1,10 @@
 #include "daemon/daemon.h"
 
 #include "core/text.h"
+
 #include "process/log.h"
 #include "process/wallclock.h"
+#include <array>
 
 namespace Laburnummast::Daemon
 {
@@ -125,8 +127,8 @@
     if (m_stopping.exchange(true)) {
         return;
     }
-    m_entryServer.stop();
-    m_adminServer.stop();
+    const std::array servers{&m_entryServer, &m_adminServer};
+    Net::stopAll(servers);
     if (m_pacer.joinable()) {
         m_pacer.join();
     }
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -1,6 +1,7 @@
 #include "net/httpclient.h"
 
 #include "core/text.h"
+#include "net/piecebuffer.h"
 #include "process/wallclock.h"
 
 #include <algorithm>
@@ -13,7 +14,6 @@
 namespace
 {
 
-constexpr std::size_t pieceBytes = 64 << 10;
 constexpr std::size_t errorTextBytes = 256;
 constexpr int statusNoContent = 204;
 constexpr int statusNotModified = 304;
@@ -196,16 +196,16 @@
         return *failure;
     }
     ClientResponse response{.head = std::move(std::get<ResponseHead>(head)), .body = {}};
-    std::array<char, pieceBytes> buf;
+    PieceBuffer buf;
     while (true) {
-        const auto n = read(buf);
+        const auto n = read(buf.room());
         if (n < 0) {
             return HttpError::BrokenOff;
         }
         if (n == 0) {
             return response;
         }
-        response.body.append(buf.data(), static_cast<std::size_t>(n));
+        response.body.append(buf.first(static_cast<std::size_t>(n)));
         if (response.body.size() > maxBody) {
             m_reusable = false;
             return HttpError::Malformed;
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -1,17 +1,19 @@
 #include "net/httpserver.h"
 
 #include "core/text.h"
+#include "net/piecebuffer.h"
 
+#include <algorithm>
 #include <array>
 #include <civetweb.h>
 #include <mutex>
+#include <thread>
 
 namespace Laburnummast::Net
 {
 namespace
 {
 
-constexpr std::size_t pieceBytes = 64 << 10;
 constexpr std::size_t maxParameterBytes = 1024;
 
 void initLibrary()
@@ -137,22 +139,35 @@
     }
     std::string body;
     body.reserve(length ? static_cast<std::size_t>(*length) : 0);
-    std::array<char, pieceBytes> buf;
+    PieceBuffer buf;
     while (true) {
-        const auto n = request.read(buf);
+        const auto n = request.read(buf.room());
         if (n < 0) {
             return BodyError::BrokenOff;
         }
         if (n == 0) {
             return body;
         }
-        body.append(buf.data(), static_cast<std::size_t>(n));
+        body.append(buf.first(static_cast<std::size_t>(n)));
         if (body.size() > limit) {
             return BodyError::TooLarge;
         }
     }
 }
 
+void discardBody(ServerRequest &request, std::size_t limit)
+{
+    PieceBuffer buf;
+    std::size_t left = limit;
+    while (left > 0) {
+        const auto n = request.read(buf.room());
+        if (n <= 0) {
+            return;
+        }
+        left -= std::min(left, static_cast<std::size_t>(n));
+    }
+}
+
 void sendResponse(ServerRequest &request, const ServerResponse &response)
 {
     auto bytes = headOf(response, static_cast<std::int64_t>(response.body.size()), request.closesAfter());
@@ -231,6 +246,18 @@
     }
 }
 
+void stopAll(std::span<HttpServer *const> servers)
+{
+    std::vector<std::thread> threads;
+    threads.reserve(servers.size());
+    for (auto *it : servers) {
+        threads.emplace_back([it] { it->stop(); });
+    }
+    for (auto &it : threads) {
+        it.join();
+    }
+}
+
 int HttpServer::handle(mg_connection *connection, void *self)
 {
     ServerRequest request(connection);
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -72,6 +72,9 @@
 /// Reads a whole body of at most `limit` bytes.
 Result<std::string, BodyError> readBody(ServerRequest &request, std::size_t limit);
 
+/// Reads on and drops what comes: a connection closed with bytes unread may take its answer with it.
+void discardBody(ServerRequest &request, std::size_t limit);
+
 struct ServerResponse
 {
     int status = 200;
@@ -101,6 +104,11 @@
     Address address;
 };
 
+class HttpServer;
+
+/// Stops servers side by side: each may wait for its threads for some seconds.
+void stopAll(std::span<HttpServer *const> servers);
+
 /// HTTP server on the house library; each open connection has one of its threads.
 class HttpServer
 {
--- a/src/standin/upstreamserver.cpp
+++ b/src/standin/upstreamserver.cpp
@@ -15,6 +15,8 @@
 {
 
 constexpr double maxFaultSleepMs = 30000;
+// Longer than the deadlines of the calls that such a connection swallows.
+constexpr Millis silence = 10_s;
 
 std::string headerOf(const Net::ServerRequest &request, const char *name)
 {
@@ -103,7 +105,7 @@
 {
     constexpr std::size_t maxBody = 80 << 20;
     if (swallowed(request)) {
-        std::this_thread::sleep_for(Process::toChrono({maxFaultSleepMs}));
+        std::this_thread::sleep_for(Process::toChrono(silence));
         request.closeAfter();
         return;
     }
--- /dev/null
+++ b/tests/daemon/calls.cpp
@@ -0,0 +1,257 @@
+#include "daemon/system.h"
+
+#include <boost/asio/ip/udp.hpp>
+#include <random>
+
+using namespace Laburnummast;
+using namespace Laburnummast::Tests;
+
+namespace
+{
+
+std::string failureOf(const Net::ClientResponse &response)
+{
+    return nlohmann::json::parse(response.body).value("failure", "");
+}
+
+std::string tapHead(const std::string &extra)
+{
+    return "POST /v1/call/s/tap HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer one-secret\r\n" + extra + "\r\n";
+}
+
+}
+
+TEST_CASE("Calls of every method reach an upstream and bring its whole answer")
+{
+    System system(1, 2);
+    system.deploy();
+    CHECK(system.call(0, "GET", "s/read/a?x=1").body.starts_with("received=0\n"));
+    const auto tap = system.call(0, "POST", "s/tap", {{"X-Request-Id", "mine-7"}}, "tap!");
+    CHECK(tap.head.status == 200);
+    CHECK(tap.body.starts_with("received=4\n"));
+    CHECK(tap.head.header("X-Request-Id") == "mine-7");
+    CHECK(tap.head.header("X-Outcome") == "done");
+    CHECK(system.call(0, "PUT", "s/sheet", {}, std::string(300000, 'x')).body.starts_with("received=300000\n"));
+}
+
+TEST_CASE("A body of 64 MiB is passed on without being held whole")
+{
+    System system(1, 1);
+    system.deploy();
+    const std::string body(64 << 20, 'x');
+    CHECK(system.call(0, "PUT", "s/sheet", {}, body).body.starts_with("received=67108864\n"));
+    CHECK(system.state(0)["calls"]["buffered_bytes"] == 0);
+}
+
+TEST_CASE("A chunked body arrives whole, short or long")
+{
+    System system(1, 1);
+    system.deploy();
+    for (const std::size_t size : {10, 500000}) {
+        auto connection = std::get<Net::HttpConnection>(Net::HttpConnection::connect(system.entry(0)));
+        const std::string piece(size, 'x');
+        REQUIRE_FALSE(connection.sendRequest(
+            {.method = "PUT", .target = "/v1/call/s/sheet", .headers = {{"Authorization", "Bearer one-secret"}}, .streamedLength = -1}));
+        REQUIRE(connection.sendPiece(piece, true));
+        REQUIRE(connection.sendPiece(piece, true));
+        REQUIRE(connection.sendLastPiece());
+        const auto head = connection.readHead(30_s);
+        REQUIRE(std::holds_alternative<Net::ResponseHead>(head));
+        CHECK(std::get<Net::ResponseHead>(head).status == 200);
+        std::array<char, 64> buf{};
+        connection.read(buf);
+        CHECK(std::string(buf.data()).starts_with("received=" + std::to_string(2 * size) + "\n"));
+    }
+}
+
+TEST_CASE("What cannot be served is answered with its own status and failure")
+{
+    System system(1, 1);
+    CHECK(failureOf(system.call(0, "GET", "s/read")) == "no-configuration");
+    system.deploy();
+    struct Expected
+    {
+        std::string method;
+        std::string path;
+        std::string credential;
+        int status;
+        std::string failure;
+    };
+    const std::vector<Expected> all{{"GET", "nowhere/read", "one-secret", 404, "unknown-service"},
+                                    {"GET", "s/elsewhere", "one-secret", 404, "unknown-route"},
+                                    {"GET", "s/read", "wrong", 401, "wrong-credential"},
+                                    {"GET", "s/read", "two-secret", 403, "not-allowed"}};
+    for (const auto &it : all) {
+        const auto response = system.call(0, it.method, it.path, {}, {}, it.credential);
+        CHECK(response.head.status == it.status);
+        CHECK(failureOf(response) == it.failure);
+        CHECK(response.head.header("X-Outcome") == "not-run");
+        CHECK_FALSE(nlohmann::json::parse(response.body).value("request_id", "").empty());
+    }
+    const auto large = system.call(0, "POST", "s/tap", {}, std::string(2 << 20, 'x'));
+    CHECK(large.head.status == 413);
+    CHECK(failureOf(system.call(0, "POST", "s/tap", {{"X-Deadline-Ms", "0"}}, "x")) == "not-run");
+}
+
+TEST_CASE("Work that every upstream sheds is refused as not run, with a time to come back")
+{
+    System system(1, 1);
+    system.deploy();
+    system.upstream(0).fault("draining=1");
+    const auto response = system.call(0, "POST", "s/tap", {{"Idempotency-Key", "k"}, {"X-Deadline-Ms", "500"}}, "x");
+    CHECK(response.head.status == 503);
+    CHECK(response.head.header("Retry-After"));
+    CHECK(response.head.header("X-Outcome") == "not-run");
+    CHECK(system.upstream(0).keys().empty());
+}
+
+TEST_CASE("A call whose answer does not come in time is answered as unknown")
+{
+    System system(1, 1);
+    system.deploy();
+    system.upstream(0).fault("slow_factor=1000");
+    const auto response = system.call(0, "GET", "s/short");
+    CHECK(response.head.status == 504);
+    CHECK(failureOf(response) == "unknown");
+}
+
+TEST_CASE("A truncated, crossed or garbled answer is never passed on, and a tap is not sent twice for it")
+{
+    System system(1, 2);
+    system.deploy();
+    for (const std::string fault : {"truncate=1", "wrong_id=1", "garbage=1"}) {
+        system.upstream(0).fault(fault);
+        system.upstream(1).fault(fault);
+        const auto response = system.call(0, "POST", "s/tap", {{"Idempotency-Key", "tap-" + fault.substr(0, 4)}}, "x");
+        CHECK(response.head.status == 504);
+        CHECK(response.head.header("X-Outcome") == "unknown");
+        system.upstream(0).fault("truncate=0&wrong_id=0&garbage=0");
+        system.upstream(1).fault("truncate=0&wrong_id=0&garbage=0");
+    }
+    const auto keys = system.upstream(0).keys() + system.upstream(1).keys();
+    CHECK(std::count(keys.begin(), keys.end(), '\n') == 3);
+    CHECK(keys.find("2 ") == std::string::npos);
+}
+
+TEST_CASE("A read whose answer breaks off is asked again and answered whole")
+{
+    System system(1, 2);
+    system.deploy();
+    system.upstream(0).fault("truncate=1");
+    system.upstream(1).fault("truncate=1");
+    for (int i = 0; i < 4; ++i) {
+        const auto response = system.call(0, "GET", "s/read");
+        CHECK(response.head.status == 200);
+        CHECK(response.body.starts_with("received=0\n"));
+    }
+}
+
+TEST_CASE("An upstream that answers twice never serves its second answer to the next call")
+{
+    System system(1, 1);
+    system.deploy();
+    system.upstream(0).fault("twice=3");
+    int whole = 0;
+    for (int i = 0; i < 8; ++i) {
+        const auto id = "call-" + std::to_string(i);
+        const auto response = system.call(0, "GET", "s/read", {{"X-Request-Id", id}});
+        CHECK(response.head.header("X-Request-Id") == id);
+        whole += response.head.status == 200 ? 1 : 0;
+    }
+    CHECK(whole == 8);
+}
+
+TEST_CASE("A request that stops half way harms nobody else")
+{
+    System system(1, 1);
+    system.deploy();
+    exchangeRaw(system.entry(0), "POST /v1/call/s/tap HTT");
+    exchangeRaw(system.entry(0), tapHead("Content-Length: 100\r\nIdempotency-Key: half\r\n") + "only this");
+    const auto chunked
+        = exchangeRaw(system.entry(0), tapHead("Transfer-Encoding: chunked\r\nIdempotency-Key: half2\r\n") + "64\r\nonly this");
+    CHECK(chunked.find("200 OK") == std::string::npos);
+    exchangeRaw(system.entry(0), std::string(2000, '\xff'));
+    CHECK(system.call(0, "GET", "s/read").head.status == 200);
+    CHECK(system.upstream(0).keys().empty());
+}
+
+TEST_CASE("A long body that breaks off on its way is not run by its upstream")
+{
+    System system(1, 1);
+    system.deploy();
+    const auto head = "PUT /v1/call/s/sheet HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer one-secret\r\nIdempotency-Key: "
+                      "sheet\r\nContent-Length: 900000\r\n\r\n";
+    exchangeRaw(system.entry(0), head + std::string(500000, 'x'));
+    CHECK(system.call(0, "GET", "s/read").head.status == 200);
+    CHECK(system.upstream(0).keys().empty());
+}
+
+TEST_CASE("Headers of 100 KB are refused and the next caller is served")
+{
+    System system(1, 1);
+    system.deploy();
+    const auto answer = exchangeRaw(system.entry(0), tapHead("X-Long: " + std::string(100000, 'a') + "\r\n"), false);
+    CHECK(answer.find(" 200 ") == std::string::npos);
+    CHECK(system.call(0, "GET", "s/read").head.status == 200);
+}
+
+TEST_CASE("Ten thousand random datagrams to the peer port are counted and change nothing")
+{
+    System system(2, 1);
+    system.deploy();
+    boost::asio::io_context context;
+    boost::asio::ip::udp::socket socket(context, boost::asio::ip::udp::v4());
+    std::mt19937_64 random(1);
+    boost::system::error_code ec;
+    for (int i = 0; i < 10000; ++i) {
+        std::string bytes(random() % 2000, '\0');
+        for (auto &it : bytes) {
+            it = static_cast<char>(random());
+        }
+        socket.send_to(boost::asio::buffer(bytes), {boost::asio::ip::make_address("127.0.0.1"), system.peer(0).port}, 0, ec);
+    }
+    CHECK(eventually([&] { return system.state(0)["peers"]["bad_datagrams"]["forged"].get<int>() > 1000; }));
+    CHECK(system.call(0, "GET", "s/read").head.status == 200);
+    CHECK(system.state(0, "/v1/status")["members"].size() == 2);
+}
+
+TEST_CASE("Silent connections are found, and new ones to the same upstream serve again")
+{
+    System system(1, 1);
+    system.deploy();
+    for (int i = 0; i < 3; ++i) {
+        CHECK(system.call(0, "GET", "s/read").head.status == 200);
+    }
+    system.upstream(0).fault("silent=1");
+    CHECK(system.call(0, "GET", "s/short").head.status == 504);
+    CHECK(eventually([&] { return system.call(0, "GET", "s/short").head.status == 200; }));
+}
+
+TEST_CASE("Entry lists name the members that serve, and a leaving one no more")
+{
+    System system(2, 1);
+    system.deploy();
+    const auto entries = [&](std::size_t daemon) {
+        const auto answer = Net::fetch(system.entry(daemon), {.method = "GET", .target = "/v1/entries?service=s"}, 5_s, 1 << 20);
+        return nlohmann::json::parse(std::get<Net::ClientResponse>(answer).body)["entries"];
+    };
+    CHECK(eventually([&] { return entries(0).size() == 2; }));
+    std::thread leaving([&] { CHECK(system.daemon(1).drain()); });
+    CHECK(eventually([&] { return entries(0).size() == 1; }));
+    leaving.join();
+}
+
+TEST_CASE("A drain cuts nothing that is in flight")
+{
+    System system(2, 1);
+    system.deploy();
+    system.upstream(0).fault("slow_factor=400");
+    Net::ClientResponse response;
+    std::thread caller([&] { response = system.call(1, "POST", "s/tap", {{"Idempotency-Key", "slow"}}, "x"); });
+    REQUIRE(eventually([&] { return !system.upstream(0).keys().empty(); }));
+    CHECK(system.daemon(1).drain());
+    system.kill(1);
+    caller.join();
+    CHECK(response.head.status == 200);
+    CHECK(response.body.starts_with("received=1\n"));
+}
