Hedges from 10 ms on; connections are closed outside the pool's lock and kept for 15 s

Looked for what the daemon itself does at that scale: hedges of calls that take 0.3 ms, connections closed under the pool's lock, and idle connections dropped after 4 s and opened again within calls.

Change: no hedge before 10 ms, closing moved out of the lock, idle_connection_ms = 15000.

--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -12,6 +12,8 @@
 // A queue older than this share of its target stands: the newest calls can still be met in time, the oldest cannot.
 constexpr double standingShare = 0.25;
 constexpr double hedgeQuantile = 0.95;
+// A second copy of a shorter call costs more than the wait it saves.
+constexpr Millis leastHedgeDelay = 10_ms;
 constexpr double hopefulQuantile = 0.95;
 constexpr Millis minRetryAfter = 1_s;
 constexpr Millis maxRetryAfter = 30_s;
@@ -313,7 +315,7 @@
 
 void Dispatcher::hedgeLate(Millis now, Actions &actions)
 {
-    const Millis late = m_router.latencyQuantile(hedgeQuantile);
+    const Millis late = std::max(m_router.latencyQuantile(hedgeQuantile), leastHedgeDelay);
     while (!m_hedgeTimers.empty() && now - m_hedgeTimers.front().sentAt >= late) {
         const auto timer = m_hedgeTimers.front();
         m_hedgeTimers.pop_front();
--- a/src/daemon/servicerunner.cpp
+++ b/src/daemon/servicerunner.cpp
@@ -57,7 +57,8 @@
             continue;
         }
         const auto share = static_cast<std::size_t>(std::max<std::int64_t>(1, it.upstream.connections / m_options.connectionDaemons));
-        ports[it.name] = std::make_shared<UpstreamPort>(it.name, Net::ConnectionPoolOptions{.address = address, .maxConnections = share});
+        ports[it.name] = std::make_shared<UpstreamPort>(
+            it.name, Net::ConnectionPoolOptions{.address = address, .maxConnections = share, .maxIdle = m_options.idleConnection});
     }
     // Withdrawn upstreams keep their connections while calls are in flight on them.
     for (const auto &[name, port] : m_ports) {
--- a/src/daemon/servicerunner.h
+++ b/src/daemon/servicerunner.h
@@ -30,6 +30,7 @@
     /// Daemons among which an upstream's connections are shared out.
     std::int64_t connectionDaemons = 16;
     std::int64_t warmConnections = 2;
+    Millis idleConnection{15000};
 };
 
 /// Drives the dispatcher of one service: carries out its actions on real connections.
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -161,6 +161,7 @@
         reader.field("attempt_threads", m_settings.attemptThreads, portThreads, Presence::Optional);
         reader.field("connection_daemons", m_settings.connectionDaemons, Range{1, 1024}, Presence::Optional);
         reader.field("warm_connections", m_settings.warmConnections, Range{0, 64}, Presence::Optional);
+        reader.field("idle_connection_ms", m_settings.idleConnection, tenMinutesMs, Presence::Optional);
         reader.field("drain_ms", m_settings.drainTime, tenMinutesMs, Presence::Optional);
     }
 
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -48,6 +48,7 @@
     std::int64_t attemptThreads = 256;
     std::int64_t connectionDaemons = 16;
     std::int64_t warmConnections = 2;
+    Millis idleConnection{15000};
     Millis drainTime{10000};
 
     std::int64_t probesPerSecond = 2;
--- a/src/daemon/traffic.cpp
+++ b/src/daemon/traffic.cpp
@@ -36,7 +36,8 @@
                                        .probeAfter = m_settings.probeAfter,
                                        .hedgeShare = static_cast<double>(m_settings.hedgePercent) / percent,
                                        .connectionDaemons = m_settings.connectionDaemons,
-                                       .warmConnections = m_settings.warmConnections};
+                                       .warmConnections = m_settings.warmConnections,
+                                       .idleConnection = m_settings.idleConnection};
     {
         const std::unique_lock lock(m_mutex);
         m_config = std::move(config);
--- a/src/net/connectionpool.cpp
+++ b/src/net/connectionpool.cpp
@@ -3,6 +3,8 @@
 #include "process/wallclock.h"
 
 #include <algorithm>
+#include <iterator>
+#include <vector>
 
 namespace Laburnummast::Net
 {
@@ -70,14 +72,15 @@
 
 void ConnectionPool::retireNoYounger(Millis openedAt)
 {
+    std::vector<Idle> closing;
     const std::lock_guard lock(m_mutex);
     m_silentBefore = std::max(m_silentBefore, openedAt);
-    const auto suspect = [&](const Idle &it) { return it.connection.openedAt() <= m_silentBefore; };
-    const auto first = std::remove_if(m_idle.begin(), m_idle.end(), suspect);
-    const auto n = static_cast<std::size_t>(m_idle.end() - first);
+    const auto trusted = [&](const Idle &it) { return it.connection.openedAt() > m_silentBefore; };
+    const auto first = std::stable_partition(m_idle.begin(), m_idle.end(), trusted);
+    std::move(first, m_idle.end(), std::back_inserter(closing));
     m_idle.erase(first, m_idle.end());
-    m_open -= n;
-    m_counters.retired += n;
+    m_open -= closing.size();
+    m_counters.retired += closing.size();
 }
 
 void ConnectionPool::warm(std::size_t wanted)
@@ -101,9 +104,11 @@
 
 void ConnectionPool::sweep()
 {
+    std::vector<Idle> closing;
     const std::lock_guard lock(m_mutex);
     const auto now = Process::steadyNow();
     while (!m_idle.empty() && now - m_idle.front().since > m_options.maxIdle) {
+        closing.push_back(std::move(m_idle.front()));
         m_idle.pop_front();
         --m_open;
     }
--- a/src/net/connectionpool.h
+++ b/src/net/connectionpool.h
@@ -16,7 +16,7 @@
     Address address;
     std::size_t maxConnections = 16;
     /// A connection idle for longer is closed rather than trusted.
-    Millis maxIdle{4000};
+    Millis maxIdle{15000};
 };
 
 struct ConnectionPoolCounters
@@ -54,7 +54,7 @@
     void retireNoYounger(Millis openedAt);
     /// Opens one connection ahead of need, if the pool has fewer than `wanted`.
     void warm(std::size_t wanted);
-    /// Closes what has been idle too long.
+    /// Closes what has been idle too long. Connections are closed outside the lock: that can take a while.
     void sweep();
 
     std::size_t open() const;
