--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Front door of the build; see README.md.
 BUILD_TYPE ?= RelWithDebInfo
 
-.PHONY: all build demo check check-asan check-tsan bench bench-overhead format lint clean
+.PHONY: all build demo check check-asan check-tsan check-processes bench bench-overhead bench-capacity format lint clean
 
 all: build
 
@@ -28,12 +28,18 @@
 	@cmake --build build-tsan
 	@ctest --test-dir build-tsan --output-on-failure -j 4
 
+check-processes: build
+	@scripts/check-processes build
+
 bench: build
 	@scripts/bench build
 
 bench-overhead: build
 	@scripts/bench-overhead build
 
+bench-capacity: build
+	@scripts/bench-capacity build docs/capacity.csv
+
 format:
 	@scripts/format
 
--- a/src/core/config/entity.h
+++ b/src/core/config/entity.h
@@ -55,8 +55,8 @@
     Millis urgentTarget{500};
     Millis normalTarget{2000};
     Millis deferrableTarget{30000};
-    std::int64_t normalFloorPercent = 7;
-    std::int64_t deferrableFloorPercent = 3;
+    std::int64_t normalFloorPercent = 8;
+    std::int64_t deferrableFloorPercent = 4;
 
     template <class Visitor>
     void visitFields(Visitor &visitor)
--- a/tests/membership/fakenetwork.h
+++ b/tests/membership/fakenetwork.h
@@ -109,6 +109,9 @@
     Filter passes = [](int, int) { return true; };
     std::uint64_t deaths = 0;
     std::uint64_t datagrams = 0;
+    /// Encode every datagram, to count its bytes and its cost.
+    bool measureBytes = false;
+    std::uint64_t bytes = 0;
 
 private:
     static constexpr Millis step = 10_ms;
@@ -137,6 +140,11 @@
             const auto &sent = std::get<Membership::SendMessage>(action);
             const int to = std::stoi(sent.to.ip.substr(sent.to.ip.rfind('.') + 1));
             ++datagrams;
+            if (measureBytes) {
+                const auto encoded = Membership::encode(sent.message, "key");
+                bytes += encoded.size();
+                (void)Membership::decode(encoded, "key");
+            }
             if (passes(from, to) && chance(m_random) >= loss) {
                 m_inTransit.push_back({.from = from, .to = to, .message = sent.message});
             }
