A newcomer is told of the fleet at once; connections are warmed only where callers are sent

In a fleet of 1,000 a member knew 428 others after 23 s, since news rides on probes, eight at a time (a test with 200 members: 161 known ten seconds after a restart). And every daemon would have kept two warm connections to each of 1,900 upstreams, and tried twice a second at those that refuse.

Change: whoever is pinged by a member it did not know, or that has restarted, sends it up to 128 members at once. Connections are opened ahead of need only by members of the service's dispatch set, with 5 s between tries.

--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -6,6 +6,7 @@
 #include "core/keyedhash.h"
 #include "core/text.h"
 #include "core/usage/usagechain.h"
+#include "daemon/runtimeconfig.h"
 #include "membership/fakenetwork.h"
 
 #include <algorithm>
@@ -60,6 +61,11 @@
     state.apply(0, text);
     put("config_first_note", upstreams, "ms", cpuMillis() - before);
     put("config_state", upstreams, "bytes", heapBytes() - heapBefore);
+    const double runtime = cpuMillis();
+    const double runtimeHeap = heapBytes();
+    const Daemon::RuntimeConfig config(state);
+    put("runtime_config", upstreams, "ms", cpuMillis() - runtime);
+    put("runtime_config", upstreams, "bytes", heapBytes() - runtimeHeap);
     constexpr int notes = 200;
     const double change = cpuMillis();
     for (int i = 1; i <= notes; ++i) {
@@ -175,15 +181,15 @@
     for (const int it : {30, 300, 1900}) {
         measureDispatcher(it);
     }
+    for (const int it : {4, 100, 560}) {
+        measureUsage(it);
+    }
     for (const int it : {1000, 10000, 50000}) {
         measureQueuedCalls(it);
     }
     for (const int it : {1000, 10000, 100000}) {
         measureKeys(it);
     }
-    for (const int it : {4, 100, 560}) {
-        measureUsage(it);
-    }
     measureMembership(16, 30);
     measureMembership(64, 30);
     measureMembership(256, 10);
--- a/src/core/membership/membership.cpp
+++ b/src/core/membership/membership.cpp
@@ -11,6 +11,7 @@
 constexpr std::size_t indirectProbes = 3;
 constexpr std::size_t newsFanout = 3;
 constexpr std::size_t updatesPerMessage = 8;
+constexpr std::size_t welcomeMessages = 16;
 constexpr Millis lookEvery = 2_s;
 // A gap between ticks of this length means that this process was paused: what it missed proves nothing about others.
 constexpr Millis pauseGap = 1_s;
@@ -81,7 +82,12 @@
     if (message.sender.info.host == m_self.info.host) {
         return;
     }
+    const auto *before = find(message.sender.info.host);
+    const bool isNew = before == nullptr || message.sender.incarnation >= before->incarnation + restartStep;
     learn(message.sender, now, actions);
+    if (isNew && message.kind == MessageKind::Ping) {
+        welcome(message.sender, actions);
+    }
     for (const auto &it : message.updates) {
         learn(it, now, actions);
     }
@@ -360,6 +366,26 @@
     }
 }
 
+// What rides on probes tells a newcomer of a large fleet too slowly; it is told of a part of it at once.
+void Membership::welcome(const Member &newcomer, MembershipActions &actions)
+{
+    std::vector<const Known *> known;
+    known.reserve(m_known.size());
+    for (const auto &[host, it] : m_known) {
+        known.push_back(&it);
+    }
+    std::shuffle(known.begin(), known.end(), m_random);
+    known.resize(std::min(known.size(), welcomeMessages * updatesPerMessage));
+    for (std::size_t i = 0; i < known.size(); i += updatesPerMessage) {
+        Message message{.kind = MessageKind::News, .sender = m_self, .updates = {}};
+        for (std::size_t j = i; j < std::min(i + updatesPerMessage, known.size()); ++j) {
+            message.updates.push_back(known[j]->member);
+        }
+        ++m_messagesSent;
+        actions.emplace_back(SendMessage{.to = newcomer.info.peer, .message = std::move(message)});
+    }
+}
+
 void Membership::tellSome(MembershipActions &actions)
 {
     for (const auto *it : pickSome(newsFanout, {})) {
--- a/src/core/membership/membership.h
+++ b/src/core/membership/membership.h
@@ -115,6 +115,7 @@
     void endSuspicions(Millis now, MembershipActions &actions);
     void lookForLost(Millis now, MembershipActions &actions);
     void tellSome(MembershipActions &actions);
+    void welcome(const Member &newcomer, MembershipActions &actions);
     std::vector<const Known *> pickSome(std::size_t count, std::string_view except);
     int tellingsWanted() const;
     bool noticePause(Millis now);
--- a/src/daemon/servicerunner.cpp
+++ b/src/daemon/servicerunner.cpp
@@ -73,6 +73,7 @@
 void ServiceRunner::setDispatchers(std::span<const std::string> names, std::string_view self)
 {
     const std::lock_guard lock(m_mutex);
+    m_dispatches = std::find(names.begin(), names.end(), self) != names.end();
     m_dispatcher.setDispatchers(names, self);
 }
 
@@ -234,8 +235,9 @@
     std::vector<std::shared_ptr<UpstreamPort>> ports;
     {
         const std::lock_guard lock(m_mutex);
+        // Ahead of need only where callers are sent: every daemon at every upstream would not fit their connections.
         for (const auto &slot : m_dispatcher.router().slots()) {
-            if (slot.present && !slot.load.draining()) {
+            if (m_dispatches && slot.present && !slot.load.draining()) {
                 ports.push_back(m_ports.at(slot.spec.name));
             }
         }
--- a/src/daemon/servicerunner.h
+++ b/src/daemon/servicerunner.h
@@ -81,6 +81,7 @@
     std::map<std::string, std::shared_ptr<UpstreamPort>, std::less<>> m_ports;
     std::unordered_map<Dispatch::CallId, std::shared_ptr<CallContext>> m_calls;
     std::map<std::string, bool, std::less<>> m_toldDraining;
+    bool m_dispatches = false;
 };
 
 }
--- a/src/net/connectionpool.cpp
+++ b/src/net/connectionpool.cpp
@@ -8,6 +8,12 @@
 
 namespace Laburnummast::Net
 {
+namespace
+{
+
+constexpr Millis warmBackoff = 5_s;
+
+}
 
 ConnectionPool::ConnectionPool(const ConnectionPoolOptions &options)
     : m_options(options)
@@ -87,7 +93,7 @@
 {
     {
         const std::lock_guard lock(m_mutex);
-        if (m_open >= std::min(wanted, m_options.maxConnections)) {
+        if (m_open >= std::min(wanted, m_options.maxConnections) || Process::steadyNow() < m_warmAgainAt) {
             return;
         }
         ++m_open;
@@ -97,6 +103,7 @@
     const std::lock_guard lock(m_mutex);
     if (std::holds_alternative<HttpError>(connection)) {
         --m_open;
+        m_warmAgainAt = Process::steadyNow() + warmBackoff;
         return;
     }
     m_idle.push_front({.connection = std::move(std::get<HttpConnection>(connection)), .since = Process::steadyNow()});
--- a/src/net/connectionpool.h
+++ b/src/net/connectionpool.h
@@ -79,6 +79,7 @@
     std::deque<Idle> m_idle;
     std::size_t m_open = 0;
     Millis m_silentBefore{-1};
+    Millis m_warmAgainAt{-1};
     ConnectionPoolCounters m_counters;
 };
 
--- a/tests/membership/membership.cpp
+++ b/tests/membership/membership.cpp
@@ -23,6 +23,17 @@
     }
 }
 
+TEST_CASE("A newcomer to a large fleet knows nearly all of it within ten seconds")
+{
+    FakeNetwork network(200, 12);
+    network.run(60_s);
+    network.setRunning(150, false);
+    network.run(1_s);
+    network.start(150, 9000000);
+    network.run(10_s);
+    CHECK(network.member(150).serving().size() >= 195);
+}
+
 TEST_CASE("A dead member is known as dead everywhere")
 {
     FakeNetwork network(hosts, 2);
