--- a/src/daemon/adminhandler.cpp
+++ b/src/daemon/adminhandler.cpp
@@ -63,7 +63,7 @@
 
 }
 
-AdminHandler::AdminHandler(std::string operatorKey, CallHandler &calls, Traffic &traffic, Control &control, const KeyGuard & /*keys*/)
+AdminHandler::AdminHandler(std::string operatorKey, CallHandler &calls, Traffic &traffic, Control &control)
     : m_operatorKey(std::move(operatorKey))
     , m_calls(calls)
     , m_traffic(traffic)
@@ -94,7 +94,7 @@
     } else if (path == "/v1/usage") {
         Net::sendResponse(request, {.status = statusOk, .body = usage()});
     } else if (path == "/v1/config") {
-        Net::sendResponse(request, {.status = statusOk, .contentType = "application/octet-stream", .body = m_control.snapshot()});
+        Net::sendResponse(request, {.status = statusOk, .contentType = "application/octet-stream", .body = m_control.config().snapshot()});
     } else {
         send(request, statusNotFound, {{"failure", "unknown-path"}});
     }
@@ -146,19 +146,19 @@
         return;
     }
     const auto &note = std::get<Config::Note>(parsed);
-    if (const auto known = m_control.outcomeOf(note.id)) {
+    if (const auto known = m_control.config().outcomeOf(note.id)) {
         send(request, known->accepted ? statusOk : statusConflict, toJson(*known));
         return;
     }
     // What cannot fit the state in force is told at once and kept out of the log.
-    const auto reasons = m_control.check(note);
+    const auto reasons = m_control.config().check(note);
     if (!reasons.empty()) {
         send(request,
              statusConflict,
              {{"id", note.id}, {"verdict", "rejected"}, {"offset", Config::noOffset}, {"reasons", toJson(reasons)}});
         return;
     }
-    const auto outcome = m_control.publish(text, note.id);
+    const auto outcome = m_control.config().publish(m_control.log(), text, note.id);
     if (const auto *failure = std::get_if<PublishError>(&outcome)) {
         const bool unreachable = failure->kind == PublishErrorKind::LogUnreachable;
         const Json answer{{"id", note.id}, {"failure", unreachable ? "log-unreachable" : "no-verdict-yet"}};
@@ -197,7 +197,7 @@
 std::string AdminHandler::status() const
 {
     const auto self = m_control.self();
-    const auto position = m_control.position();
+    const auto position = m_control.config().position();
     Json members = Json::array();
     for (const auto &it : m_traffic.allMembers()) {
         members.push_back({{"host", it.info.host},
@@ -218,7 +218,7 @@
 std::string AdminHandler::notes() const
 {
     Json list = Json::array();
-    for (const auto &it : m_control.outcomes()) {
+    for (const auto &it : m_control.config().outcomes()) {
         list.push_back(toJson(it));
     }
     return Json{{"notes", list}}.dump(2) + "\n";
--- a/src/daemon/adminhandler.h
+++ b/src/daemon/adminhandler.h
@@ -19,7 +19,7 @@
 class AdminHandler
 {
 public:
-    AdminHandler(std::string operatorKey, CallHandler &calls, Traffic &traffic, Control &control, const KeyGuard &keys);
+    AdminHandler(std::string operatorKey, CallHandler &calls, Traffic &traffic, Control &control);
 
     void handle(Net::ServerRequest &request);
     /// Whether an operator asked for a drain.
--- a/src/daemon/control.cpp
+++ b/src/daemon/control.cpp
@@ -1,8 +1,8 @@
 #include "daemon/control.h"
 
 #include "core/config/address.h"
-#include "core/routing/rendezvous.h"
 #include "core/text.h"
+#include "daemon/hostlist.h"
 #include "net/peerclient.h"
 #include "process/log.h"
 #include "process/wallclock.h"
@@ -19,35 +19,13 @@
 
 constexpr auto tickEvery = std::chrono::milliseconds(50);
 constexpr std::size_t helperThreads = 4;
-constexpr std::size_t usageCopies = 2;
 constexpr std::size_t handOverCopies = 2;
 constexpr Millis peerTimeout = 1_s;
 constexpr Millis fetchTimeout = 3_s;
-constexpr Millis appendTimeout = 1500_ms;
-constexpr Millis publishLimit = 10_s;
-constexpr Millis verdictLimit = 5_s;
-constexpr Millis publishPause = 200_ms;
 constexpr Millis lastFlush = 2_s;
 constexpr std::size_t maxHostListBytes = 4 << 20;
-constexpr int scanRecords = 1000;
-// A run refutes false reports by counting its incarnation up; a restart starts from the clock, far above.
-constexpr std::uint64_t refutationsPerRun = 1000;
 constexpr std::string_view readerKey = "log-readers";
 
-std::vector<Membership::Member> chosenMembers(std::string_view key, const std::vector<Membership::Member> &members, std::size_t count)
-{
-    std::vector<Routing::Candidate> candidates;
-    candidates.reserve(members.size());
-    for (const auto &it : members) {
-        candidates.push_back({.name = it.info.host, .domain = it.info.domain});
-    }
-    std::vector<Membership::Member> chosen;
-    for (const auto it : Routing::rendezvousSet(key, candidates, count)) {
-        chosen.push_back(members[it]);
-    }
-    return chosen;
-}
-
 Membership::MembershipOptions membershipOptions(const Settings &settings, std::uint64_t incarnation)
 {
     return {.self = {.host = settings.host,
@@ -91,17 +69,16 @@
     , m_timer(m_context)
     , m_peers(m_context, m_peerKey)
     , m_membership(membershipOptions(settings, identity.incarnation))
-    , m_chain(identity)
     , m_log(settings.logAddress)
     , m_outbox(m_log)
     , m_tail(m_log,
              settings.logPoll,
-             {.position = [this] { return position().offset; },
+             {.position = [this] { return m_config.position().offset; },
               .apply =
                   [this](std::vector<Net::LogRecord> records) {
                       std::promise<void> done;
                       boost::asio::post(m_context, [&] {
-                          applyRecords(records);
+                          takeRecords(records);
                           done.set_value();
                       });
                       done.get_future().wait();
@@ -113,6 +90,7 @@
                       return done.get_future().get();
                   }})
     , m_helpers(helperThreads)
+    , m_usage(identity, m_peerKey, traffic, m_outbox, m_helpers)
     , m_startedAt(steadyNow())
 {
     m_selfCopy = m_membership.self();
@@ -186,12 +164,12 @@
     fetchIfBehind();
     if (now >= m_nextShare) {
         m_nextShare = now + m_settings.shareUsageEvery;
-        shareUsage();
+        m_usage.share(m_membership.serving());
         m_keys.expire();
     }
     if (now >= m_nextUsage) {
         m_nextUsage = now + m_settings.logUsageEvery;
-        writeUsage();
+        m_usage.write(m_membership.others());
     }
     if (now >= m_nextHosts) {
         m_nextHosts = now + m_settings.hostListEvery;
@@ -227,7 +205,7 @@
                           {"state", std::string(nameOf(member.state))},
                           {"incarnation", Text::concat(member.incarnation)}});
     }
-    const auto here = position();
+    const auto here = m_config.position();
     const bool diverged = member.config.offset == here.offset && member.config.hash != here.hash && here.offset != Config::noOffset;
     if (diverged && m_diverged.insert(member.info.host).second) {
         ++m_counters.divergences;
@@ -244,7 +222,7 @@
     auto all = m_membership.others();
     all.push_back(m_membership.self());
     {
-        const std::lock_guard lock(m_stateMutex);
+        const std::lock_guard lock(m_selfMutex);
         m_selfCopy = m_membership.self();
     }
     const auto readers = chosenMembers(readerKey, serving, static_cast<std::size_t>(m_settings.logReaders));
@@ -260,8 +238,10 @@
 Net::PeerReply Control::answerPeer(const Net::PeerRequest &request)
 {
     return std::visit(Overloaded{[this](const Net::FetchConfig &it) -> Net::PeerReply {
-                                     const bool newer = position().offset > it.have;
-                                     return Net::ConfigReply{.snapshot = newer ? snapshot() : std::string()};
+                                     if (auto records = m_config.recordsSince(it.have)) {
+                                         return Net::ConfigReply{.snapshot = {}, .records = std::move(*records)};
+                                     }
+                                     return Net::ConfigReply{.snapshot = m_config.snapshot(), .records = {}};
                                  },
                                  [this](const Net::ClaimKey &it) -> Net::PeerReply { return Net::toReply(m_keys.claimFor(it)); },
                                  [this](const Net::HandOverKeys &it) -> Net::PeerReply {
@@ -281,83 +261,32 @@
                       request);
 }
 
-void Control::applyRecords(const std::vector<Net::LogRecord> &records)
+void Control::takeRecords(const std::vector<Net::LogRecord> &records)
 {
-    bool moved = false;
-    for (const auto &it : records) {
-        if (it.offset <= position().offset) {
-            continue;
-        }
-        Config::Verdict verdict;
-        {
-            const std::lock_guard lock(m_stateMutex);
-            verdict = m_state.apply(it.offset, it.data);
-        }
-        noteVerdict(verdict, it.offset);
-        moved = true;
-    }
-    if (moved) {
+    if (m_config.apply(records)) {
         configMoved();
         writeSnapshotIfDue();
     }
 }
 
-void Control::noteVerdict(const Config::Verdict &verdict, Config::Offset offset)
-{
-    const auto at = Text::concat(offset);
-    std::visit(
-        Overloaded{[&](const Config::Accepted &it) {
-                       ++m_counters.notesAccepted;
-                       Process::logInfo("note-accepted", {{"id", it.noteId}, {"offset", at}});
-                   },
-                   [&](const Config::Repeated &) { ++m_counters.notesRepeated; },
-                   [&](const Config::Rejected &it) {
-                       ++m_counters.notesRejected;
-                       Process::logInfo("note-rejected", {{"id", it.noteId}, {"offset", at}, {"reason", nameOf(it.reasons.front().kind)}});
-                   },
-                   [&](const Config::Unreadable &it) {
-                       ++m_counters.recordsUnreadable;
-                       const bool future = std::holds_alternative<Config::FutureFormat>(it.failure);
-                       Process::logWarning("record-unreadable", {{"offset", at}, {"kind", future ? "future-format" : "malformed"}});
-                   }},
-        verdict);
-}
-
 bool Control::takeSnapshot(const std::string &bytes)
 {
-    auto read = Config::ConfigState::readSnapshot(bytes);
-    if (const auto *failure = std::get_if<Config::SnapshotError>(&read)) {
-        ++m_counters.snapshotsRefused;
-        Process::logWarning("snapshot-refused", {{"reason", nameOf(*failure)}});
-        return false;
-    }
-    auto &state = std::get<Config::ConfigState>(read);
-    if (state.offset() <= position().offset) {
+    if (!m_config.takeSnapshot(bytes)) {
         return false;
     }
-    Process::logInfo("snapshot-taken", {{"offset", Text::concat(state.offset())}});
-    {
-        const std::lock_guard lock(m_stateMutex);
-        m_state = std::move(state);
-        m_lastSnapshot = m_state.offset();
-    }
+    m_lastSnapshot = m_config.position().offset;
     configMoved();
     return true;
 }
 
 void Control::configMoved()
 {
-    std::shared_ptr<const RuntimeConfig> config;
-    {
-        const std::lock_guard lock(m_stateMutex);
-        config = std::make_shared<const RuntimeConfig>(m_state);
-    }
-    m_traffic.setConfig(config);
+    m_traffic.setConfig(m_config.runtimeConfig());
     Membership::MembershipActions actions;
-    m_membership.setConfig(position(), steadyNow(), actions);
+    m_membership.setConfig(m_config.position(), steadyNow(), actions);
     carryOut(actions);
     publishMembers();
-    m_stateChanged.notify_all();
+    m_config.announce();
 }
 
 void Control::fetchIfBehind()
@@ -365,7 +294,7 @@
     if (m_fetching) {
         return;
     }
-    const auto here = position().offset;
+    const auto here = m_config.position().offset;
     const auto others = m_membership.others();
     const auto further
         = std::max_element(others.begin(), others.end(), [](const auto &a, const auto &b) { return a.config.offset < b.config.offset; });
@@ -378,7 +307,7 @@
 {
     m_fetching = true;
     ++m_counters.configFetches;
-    m_helpers.post([this, address = member.info.peer, have = position().offset] {
+    m_helpers.post([this, address = member.info.peer, have = m_config.position().offset] {
         auto reply = Net::askPeer(address, Net::FetchConfig{.have = have}, m_peerKey, fetchTimeout);
         boost::asio::post(m_context, [this, reply = std::move(reply)] {
             m_fetching = false;
@@ -386,6 +315,8 @@
             const auto *config = answer == nullptr ? nullptr : std::get_if<Net::ConfigReply>(answer);
             if (config != nullptr && !config->snapshot.empty()) {
                 takeSnapshot(config->snapshot);
+            } else if (config != nullptr) {
+                takeRecords(config->records);
             }
         });
     });
@@ -394,90 +325,20 @@
 // Snapshots of the same offset are equal, so two writers at once do no harm; choosing one only saves appends.
 void Control::writeSnapshotIfDue()
 {
-    const auto here = position().offset;
+    const auto here = m_config.position().offset;
     if (here - m_lastSnapshot < m_settings.snapshotEvery) {
         return;
     }
     m_lastSnapshot = here;
     const auto first = chosenMembers(readerKey, m_membership.serving(), 1);
     if (first.empty() || first.front().info.host == m_settings.host) {
-        m_outbox.replace(std::string(Net::snapshotStream), snapshot());
-    }
-}
-
-Result<Config::NoteOutcome, PublishError> Control::publish(const std::string &text, const std::string &id)
-{
-    const auto until = steadyNow() + publishLimit;
-    const auto from = position().offset + 1;
-    bool inLog = false;
-    while (!inLog && steadyNow() < until) {
-        const auto appended = m_log.append(Net::noteStream, text, appendTimeout);
-        inLog = std::holds_alternative<Config::Offset>(appended);
-        if (!inLog && std::get<Net::LogError>(appended) == Net::LogError::Ambiguous) {
-            // The append may have taken effect: the note's id in the log tells.
-            inLog = findInLog(id, from);
-        }
-        if (!inLog) {
-            std::this_thread::sleep_for(Process::toChrono(publishPause));
-        }
+        m_outbox.replace(std::string(Net::snapshotStream), m_config.snapshot());
     }
-    std::unique_lock lock(m_stateMutex);
-    const auto known = [&] { return m_state.findOutcome(id) != nullptr; };
-    if (m_stateChanged.wait_for(lock, Process::toChrono(inLog ? verdictLimit : Millis{}), known)) {
-        return *m_state.findOutcome(id);
-    }
-    return PublishError{.kind = inLog ? PublishErrorKind::NoVerdictYet : PublishErrorKind::LogUnreachable};
-}
-
-bool Control::findInLog(const std::string &id, Config::Offset from) const
-{
-    const auto page = m_log.read(Net::noteStream, from, scanRecords, {});
-    const auto *records = std::get_if<Net::LogPage>(&page);
-    if (records == nullptr) {
-        return false;
-    }
-    const auto isIt = [&](const Net::LogRecord &record) {
-        const auto parsed = Config::parseNote(record.data, "note");
-        const auto *note = std::get_if<Config::Note>(&parsed);
-        return note != nullptr && note->id == id;
-    };
-    return std::any_of(records->records.begin(), records->records.end(), isIt);
-}
-
-std::optional<Config::NoteOutcome> Control::outcomeOf(std::string_view noteId) const
-{
-    const std::lock_guard lock(m_stateMutex);
-    const auto *it = m_state.findOutcome(noteId);
-    return it == nullptr ? std::nullopt : std::optional(*it);
-}
-
-std::vector<Config::Rejection> Control::check(const Config::Note &note) const
-{
-    const std::lock_guard lock(m_stateMutex);
-    return m_state.check(note);
-}
-
-std::vector<Config::NoteOutcome> Control::outcomes() const
-{
-    const std::lock_guard lock(m_stateMutex);
-    return {m_state.outcomes().begin(), m_state.outcomes().end()};
-}
-
-std::string Control::snapshot() const
-{
-    const std::lock_guard lock(m_stateMutex);
-    return m_state.writeSnapshot();
-}
-
-Membership::ConfigPosition Control::position() const
-{
-    const std::lock_guard lock(m_stateMutex);
-    return {.offset = m_state.offset(), .hash = m_state.hash()};
 }
 
 Membership::Member Control::self() const
 {
-    const std::lock_guard lock(m_stateMutex);
+    const std::lock_guard lock(m_selfMutex);
     return m_selfCopy;
 }
 
@@ -502,8 +363,8 @@
     Process::logInfo("keys-handed-over", {{"members", Text::concat(taken)}});
     std::promise<void> done;
     boost::asio::post(m_context, [&] {
-        shareUsage();
-        writeUsage();
+        m_usage.share(m_membership.serving());
+        m_usage.write(m_membership.others());
         Membership::MembershipActions actions;
         m_membership.leftNow(steadyNow(), actions);
         carryOut(actions);
@@ -527,47 +388,6 @@
     }
 }
 
-void Control::shareUsage()
-{
-    const auto own = m_traffic.ownUsage();
-    if (own == m_sharedUsage) {
-        return;
-    }
-    m_sharedUsage = own;
-    const Net::ShareUsage copy{.copies = {{.source = m_traffic.usage().self(), .table = own}}};
-    auto others = m_membership.serving();
-    std::erase_if(others, [this](const auto &it) { return it.info.host == m_settings.host; });
-    for (const auto &it : chosenMembers(Text::concat("usage:", m_settings.host), others, usageCopies)) {
-        m_helpers.post([this, address = it.info.peer, copy] { (void)Net::askPeer(address, copy, m_peerKey, peerTimeout); });
-    }
-}
-
-// Besides its own counters a member writes the copies it holds of the dead, which can write no more.
-void Control::writeUsage()
-{
-    const auto ledger = m_traffic.usage();
-    const auto others = m_membership.others();
-    std::vector<Usage::UsageEntry> entries;
-    for (const auto &[source, table] : ledger.sources()) {
-        const auto runs = [&, host = source.host, incarnation = source.incarnation](const Membership::Member &it) {
-            return it.info.host == host && it.incarnation - incarnation < refutationsPerRun && it.state <= Membership::MemberState::Leaving;
-        };
-        const bool own = source == ledger.self();
-        const bool ownChanged = own && table != m_loggedUsage;
-        const bool ended = !own && std::none_of(others.begin(), others.end(), runs);
-        if (ownChanged || (ended && m_loggedForDead[source] != table)) {
-            entries.push_back({.source = source, .table = table});
-        }
-    }
-    if (entries.empty() || m_outbox.holds(std::string(Net::usageStream))) {
-        return;
-    }
-    for (const auto &it : entries) {
-        (it.source == ledger.self() ? m_loggedUsage : m_loggedForDead[it.source]) = it.table;
-    }
-    m_outbox.offer(std::string(Net::usageStream), m_chain.next(std::move(entries), Process::wallNow()));
-}
-
 void Control::pollHosts()
 {
     for (const auto &address : m_settings.hostLists) {
@@ -581,45 +401,32 @@
     }
 }
 
+ControlSpending Control::spending() const
+{
+    constexpr double millisPerSecond = 1000;
+    const auto &peers = m_peers.counters();
+    return {.cpuSeconds = m_cpuSeconds,
+            .wallSeconds = (steadyNow() - m_startedAt).count / millisPerSecond,
+            .bytes = peers.bytesIn + peers.bytesOut + m_outbox.counters().bytes};
+}
+
 // The list lags: it may add addresses to look at and upstreams to spare, but never removes a member.
 void Control::takeHostList(const std::string &text)
 {
-    const auto json = nlohmann::json::parse(text, nullptr, false);
-    if (!json.is_object() || !json.contains("hosts") || !json["hosts"].is_array()) {
+    const auto list = parseHostList(text);
+    m_membership.addSeeds(list.liveDaemons);
+    const auto config = m_traffic.config();
+    if (!config) {
         return;
     }
-    std::vector<Membership::Address> seeds;
-    const auto config = m_traffic.config();
-    for (const auto &it : json["hosts"]) {
-        const auto address = it.is_object() ? Config::parseAddress(it.value("address", "")) : std::nullopt;
-        if (!address) {
-            continue;
-        }
-        const bool leaving = it.value("state", "") == "leaving";
-        if (it.value("kind", "") == "daemon" && !leaving) {
-            seeds.push_back(*address);
-        }
-        if (it.value("kind", "") != "upstream" || !leaving || !config) {
-            continue;
-        }
-        for (const auto &[name, service] : config->services()) {
-            for (const auto &upstream : service.upstreams) {
-                if (upstream.upstream.host == address->ip && upstream.upstream.port == address->port) {
-                    m_traffic.setUpstreamDraining(name, upstream.name);
-                }
+    for (const auto &[name, service] : config->services()) {
+        for (const auto &it : service.upstreams) {
+            const Membership::Address address{.ip = it.upstream.host, .port = static_cast<std::uint16_t>(it.upstream.port)};
+            if (std::find(list.leavingUpstreams.begin(), list.leavingUpstreams.end(), address) != list.leavingUpstreams.end()) {
+                m_traffic.setUpstreamDraining(name, it.name);
             }
         }
     }
-    m_membership.addSeeds(seeds);
-}
-
-ControlSpending Control::spending() const
-{
-    constexpr double millisPerSecond = 1000;
-    const auto &peers = m_peers.counters();
-    return {.cpuSeconds = m_cpuSeconds,
-            .wallSeconds = (steadyNow() - m_startedAt).count / millisPerSecond,
-            .bytes = peers.bytesIn + peers.bytesOut + m_outbox.counters().bytes};
 }
 
 nlohmann::json Control::dump() const
@@ -628,7 +435,8 @@
     for (const auto &it : m_traffic.allMembers()) {
         members.push_back(toJson(it));
     }
-    const auto here = position();
+    const auto here = m_config.position();
+    const auto &config = m_config.counters();
     const auto spent = spending();
     const auto &peers = m_peers.counters();
     nlohmann::json badDatagrams;
@@ -640,11 +448,11 @@
             {"config",
              {{"offset", here.offset},
               {"hash", Text::hex((here.hash))},
-              {"notes_accepted", m_counters.notesAccepted.load()},
-              {"notes_rejected", m_counters.notesRejected.load()},
-              {"notes_repeated", m_counters.notesRepeated.load()},
-              {"records_unreadable", m_counters.recordsUnreadable.load()},
-              {"snapshots_refused", m_counters.snapshotsRefused.load()},
+              {"notes_accepted", config.accepted.load()},
+              {"notes_rejected", config.rejected.load()},
+              {"notes_repeated", config.repeated.load()},
+              {"records_unreadable", config.unreadable.load()},
+              {"snapshots_refused", config.snapshotsRefused.load()},
               {"fetches", m_counters.configFetches.load()},
               {"divergences", m_counters.divergences.load()}}},
             {"log",
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -46,7 +46,7 @@
              [this] { return m_traffic.allMembers(); })
     , m_control(settings, m_identity, keys.peer, m_traffic, m_keys)
     , m_calls(settings, m_traffic, m_keys)
-    , m_admin(keys.operators, m_calls, m_traffic, m_control, m_keys)
+    , m_admin(keys.operators, m_calls, m_traffic, m_control)
 {
 }
 
--- a/src/daemon/metrics.cpp
+++ b/src/daemon/metrics.cpp
@@ -123,7 +123,7 @@
     serving.add(static_cast<double>(members));
     families.push_back(serving.take());
     auto offset = gauge("laburnummast_config_offset", "Offset in the log up to which the configuration is in force.");
-    offset.add(static_cast<double>(control.position().offset));
+    offset.add(static_cast<double>(control.config().position().offset));
     families.push_back(offset.take());
 }
 
--- a/src/daemon/traffic.cpp
+++ b/src/daemon/traffic.cpp
@@ -5,21 +5,25 @@
 namespace Laburnummast::Daemon
 {
 
-std::vector<Membership::Member> dispatchersOf(const ServiceView &service, const std::vector<Membership::Member> &serving)
+std::vector<Membership::Member> chosenMembers(std::string_view key, const std::vector<Membership::Member> &members, std::size_t count)
 {
     std::vector<Routing::Candidate> candidates;
-    candidates.reserve(serving.size());
-    for (const auto &it : serving) {
+    candidates.reserve(members.size());
+    for (const auto &it : members) {
         candidates.push_back({.name = it.info.host, .domain = it.info.domain});
     }
-    const auto count = static_cast<std::size_t>(service.service.dispatchers);
     std::vector<Membership::Member> chosen;
-    for (const auto it : Routing::rendezvousSet(service.name, candidates, count)) {
-        chosen.push_back(serving[it]);
+    for (const auto it : Routing::rendezvousSet(key, candidates, count)) {
+        chosen.push_back(members[it]);
     }
     return chosen;
 }
 
+std::vector<Membership::Member> dispatchersOf(const ServiceView &service, const std::vector<Membership::Member> &serving)
+{
+    return chosenMembers(service.name, serving, static_cast<std::size_t>(service.service.dispatchers));
+}
+
 Traffic::Traffic(const Settings &settings, ServiceRunner::DrainingHandler onDraining, Usage::UsageSource self)
     : m_settings(settings)
     , m_onDraining(std::move(onDraining))
--- a/src/daemon/traffic.h
+++ b/src/daemon/traffic.h
@@ -64,6 +64,9 @@
     WorkerPool m_pool;
 };
 
+/// Members that rendezvous hashing chooses for a key, spread over failure domains.
+std::vector<Membership::Member> chosenMembers(std::string_view key, const std::vector<Membership::Member> &members, std::size_t count);
+
 /// Members that dispatch a service's calls, spread over failure domains.
 std::vector<Membership::Member> dispatchersOf(const ServiceView &service, const std::vector<Membership::Member> &serving);
 
--- a/src/net/logclient.h
+++ b/src/net/logclient.h
@@ -30,6 +30,12 @@
 {
     Offset offset = Config::noOffset;
     std::string data;
+
+    template <class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(offset, data);
+    }
 };
 
 struct LogPage
--- a/src/net/peermessage.h
+++ b/src/net/peermessage.h
@@ -5,6 +5,7 @@
 #include "core/idempotency/keytable.h"
 #include "core/result.h"
 #include "core/usage/usageledger.h"
+#include "net/logclient.h"
 
 #include <cstdint>
 #include <string>
@@ -95,15 +96,16 @@
 
 using PeerRequest = std::variant<FetchConfig, ClaimKey, HandOverKeys, ShareUsage, TellDraining>;
 
-/// A snapshot of the configuration; empty if the receiver has nothing newer.
+/// The records that the asker lacks, or a snapshot if they are no longer kept; neither if there is nothing newer.
 struct ConfigReply
 {
     std::string snapshot;
+    std::vector<LogRecord> records;
 
     template <class Archive>
     void serialize(Archive &archive)
     {
-        archive(snapshot);
+        archive(snapshot, records);
     }
 };
 
