Reading round: unused parameters, one sum of usage, invariants after every event, rounds in bench-overhead

Cause: read as a newcomer: functions that took a time and dropped it, the sum of usage written three times, the ageing of keys twice, a field nobody read. Invariants were checked at every twentieth tick only. And bench-overhead's figures moved by 3 ms between runs with the machine's noise.

Change: those, with behaviour as it was; invariants are checked after every event of a dispatcher with at most 200 pending calls, else at every tick; bench-overhead takes both ways in turn, five rounds, medians.

--- a/bench/model/simulator.cpp
+++ b/bench/model/simulator.cpp
@@ -17,7 +17,8 @@
 
 constexpr Millis tickEvery = 5_ms;
 constexpr Millis afterEnd = 40_s;
-constexpr int invariantEvery = 20;
+// Beyond this many pending calls the check of every event would outweigh the run; it is made at every tick then.
+constexpr std::size_t checkedAtOnce = 200;
 
 }
 
@@ -246,8 +247,17 @@
     }
 }
 
+void Simulator::checkInvariants(const Entry &entry)
+{
+    m_invariantsBroken += entry.dispatcher->checkInvariants() ? 1 : 0;
+}
+
 void Simulator::carryOut(int entry, const Actions &actions)
 {
+    const auto &host = m_entries[static_cast<std::size_t>(entry)];
+    if (host.dispatcher->pending() <= checkedAtOnce) {
+        checkInvariants(host);
+    }
     for (const auto &action : actions) {
         std::visit(Overloaded{[&](const Dispatch::SendAttempt &it) {
                                   sendAttempt(entry, {it.call, it.attempt, entry}, static_cast<int>(it.upstream));
@@ -332,7 +342,6 @@
 
 void Simulator::tick()
 {
-    const bool check = ++m_ticks % invariantEvery == 0;
     for (std::size_t i = 0; i < m_entries.size(); ++i) {
         auto &it = m_entries[i];
         if (!it.alive) {
@@ -341,9 +350,7 @@
         Actions actions;
         it.dispatcher->tick(m_now, actions);
         carryOut(static_cast<int>(i), actions);
-        if (check && it.dispatcher->checkInvariants()) {
-            ++m_invariantsBroken;
-        }
+        checkInvariants(it);
     }
     after(tickEvery, [this] { tick(); });
 }
--- a/bench/model/simulator.h
+++ b/bench/model/simulator.h
@@ -88,6 +88,7 @@
 
     void enter(std::size_t id, int entry);
     void lostEntry(std::size_t id);
+    void checkInvariants(const Entry &entry);
     void carryOut(int entry, const Dispatch::Actions &actions);
     Millis travel(int entry, int worker) const;
     void sendAttempt(int entry, const Job &job, int worker);
@@ -141,7 +142,6 @@
     double m_crossShare = 0;
     std::uint64_t m_messages = 0;
     std::uint64_t m_probes = 0;
-    std::uint64_t m_ticks = 0;
     double m_invariantsBroken = 0;
 };
 
--- a/bench/overhead.cpp
+++ b/bench/overhead.cpp
@@ -20,7 +20,8 @@
 ABSL_FLAG(std::string, target, "/v1/call/contatore/occupancy", "path through the daemon");
 ABSL_FLAG(std::string, credential, "desks-secret", "credential of the caller");
 ABSL_FLAG(std::string, connections, "1,16,64", "numbers of connections to try");
-ABSL_FLAG(int, seconds, 3, "length of each measurement");
+ABSL_FLAG(int, seconds, 2, "length of each measurement");
+ABSL_FLAG(int, rounds, 5, "measurements of each way, taken in turn; the medians are shown");
 ABSL_FLAG(double, rate, 2000, "calls a second over all connections; 0 for as fast as they go");
 
 namespace Laburnummast
@@ -88,6 +89,60 @@
     return all;
 }
 
+double median(std::vector<double> values)
+{
+    std::sort(values.begin(), values.end());
+    return values[values.size() / 2];
+}
+
+// What one way needed over the rounds.
+struct Way
+{
+    std::vector<double> p50;
+    std::vector<double> p99;
+    std::size_t calls = 0;
+    int failed = 0;
+
+    void take(const Latencies &latencies)
+    {
+        p50.push_back(latencies.quantile(0.5));
+        p99.push_back(latencies.quantile(0.99));
+        calls += latencies.millis.size();
+        failed += latencies.failed;
+    }
+};
+
+// Rounds of both ways in turn: the machine's own noise then falls on both.
+void compare(const Net::Address &direct,
+             const Net::ClientRequest &plain,
+             const Net::Address &through,
+             const Net::ClientRequest &called,
+             int connections)
+{
+    Way a;
+    Way b;
+    std::vector<double> added;
+    for (int round = 0; round < absl::GetFlag(FLAGS_rounds); ++round) {
+        a.take(measure(direct, plain, connections));
+        b.take(measure(through, called, connections));
+        added.push_back(b.p99.back() - a.p99.back());
+    }
+    const auto [least, most] = std::minmax_element(added.begin(), added.end());
+    std::cout << absl::StrFormat("%d,%d,%.3f,%.3f,%.3f,%.3f,%.3f,%.3f,%.3f,%.3f,%d\n",
+                                 connections,
+                                 b.calls,
+                                 median(a.p50),
+                                 median(a.p99),
+                                 median(b.p50),
+                                 median(b.p99),
+                                 median(b.p50) - median(a.p50),
+                                 median(b.p99) - median(a.p99),
+                                 *least,
+                                 *most,
+                                 a.failed + b.failed)
+              << std::flush;
+}
+
 int run()
 {
     const auto direct = Config::parseAddress(absl::GetFlag(FLAGS_direct));
@@ -100,23 +155,12 @@
     const Net::ClientRequest called{.method = "GET",
                                     .target = absl::GetFlag(FLAGS_target),
                                     .headers = {{.name = "Authorization", .value = "Bearer " + absl::GetFlag(FLAGS_credential)}}};
-    std::cout << "connections,calls,direct_p50_ms,direct_p99_ms,through_p50_ms,through_p99_ms,added_p50_ms,added_p99_ms,failed\n";
+    std::cout << "connections,calls,direct_p50_ms,direct_p99_ms,through_p50_ms,through_p99_ms,added_p50_ms,added_p99_ms,least_added_p99_ms,"
+                 "most_added_p99_ms,failed\n";
     const std::string counts = absl::GetFlag(FLAGS_connections);
     for (const auto text : Text::split(counts, ',')) {
         const auto connections = static_cast<int>(Text::parseInteger(text).value_or(1));
-        const auto a = measure(*direct, plain, connections);
-        const auto b = measure(*through, called, connections);
-        std::cout << absl::StrFormat("%d,%d,%.3f,%.3f,%.3f,%.3f,%.3f,%.3f,%d\n",
-                                     connections,
-                                     b.millis.size(),
-                                     a.quantile(0.5),
-                                     a.quantile(0.99),
-                                     b.quantile(0.5),
-                                     b.quantile(0.99),
-                                     b.quantile(0.5) - a.quantile(0.5),
-                                     b.quantile(0.99) - a.quantile(0.99),
-                                     a.failed + b.failed)
-                  << std::flush;
+        compare(*direct, plain, *through, called, connections);
     }
     return 0;
 }
--- a/src/cli/usagecommands.cpp
+++ b/src/cli/usagecommands.cpp
@@ -86,7 +86,7 @@
     if (!daemons) {
         return std::nullopt;
     }
-    std::map<Usage::UsageSource, Usage::UsageTable> sources;
+    Usage::UsageBySource sources;
     for (const auto &daemon : *daemons) {
         const auto answer = get(daemon.admin, "/v1/usage");
         if (!answer || !answer->json.contains("usage")) {
@@ -103,13 +103,7 @@
                                                .bytesOut = it.value("bytes_out", std::uint64_t{0})});
         }
     }
-    Usage::UsageTable sum;
-    for (const auto &[source, table] : sources) {
-        for (const auto &[key, counters] : table) {
-            sum[key] += counters;
-        }
-    }
-    return sum;
+    return sumOf(sources);
 }
 
 ExitCode printUsage(const std::optional<Usage::UsageTable> &table)
--- a/src/core/admission/flowclock.cpp
+++ b/src/core/admission/flowclock.cpp
@@ -21,7 +21,7 @@
 double FlowClock::served(FlowId flow) const
 {
     const auto it = m_served.find(flow);
-    return it == m_served.end() ? m_line : std::max(it->second, 0.0);
+    return it == m_served.end() ? m_line : it->second;
 }
 
 }
--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -103,11 +103,11 @@
     auto &call = m_calls[request.id];
     call.request = request;
     if (m_router.usable(now) == 0 && m_router.slots().empty()) {
-        refuse(request.id, RefusalReason::NoUpstream, now, actions);
+        refuse(request.id, RefusalReason::NoUpstream, actions);
         return;
     }
     if (waitWouldPassDeadline(request, now)) {
-        refuse(request.id, RefusalReason::WaitWouldPassDeadline, now, actions);
+        refuse(request.id, RefusalReason::WaitWouldPassDeadline, actions);
         return;
     }
     enqueue(call, false, now);
@@ -116,7 +116,7 @@
     if (queue.size() > m_options.queueLimit) {
         if (const auto dropped = queue.dropFromLongest()) {
             m_calls[dropped->id].queued = false;
-            refuse(dropped->id, RefusalReason::QueueFull, now, actions);
+            refuse(dropped->id, RefusalReason::QueueFull, actions);
         }
     }
 }
@@ -206,12 +206,11 @@
     }
 }
 
-void Dispatcher::refuse(CallId call, RefusalReason reason, Millis now, Actions &actions)
+void Dispatcher::refuse(CallId call, RefusalReason reason, Actions &actions)
 {
     const auto it = m_calls.find(call);
     const auto priority = it->second.request.priority;
     ++m_counters.refused[indexOf(priority)];
-    (void)now;
     actions.emplace_back(RefuseCall{.call = call, .reason = reason, .retryAfter = expectedWait(priority)});
     m_calls.erase(it);
 }
@@ -235,7 +234,7 @@
             ++m_counters.retries;
             enqueue(call, true, now);
         } else if (isAnswer(result.outcome) || call.active.empty()) {
-            finish(call, number, dispositionOf(result.outcome), now, actions);
+            finish(call, number, dispositionOf(result.outcome), actions);
         }
     }
     if (call.finished && call.active.empty()) {
@@ -259,10 +258,9 @@
     return kept && safe && m_retries.take();
 }
 
-void Dispatcher::finish(Pending &call, AttemptNumber attempt, Disposition disposition, Millis now, Actions &actions)
+void Dispatcher::finish(Pending &call, AttemptNumber attempt, Disposition disposition, Actions &actions)
 {
     call.finished = true;
-    (void)now;
     actions.emplace_back(FinishCall{
         .call = call.request.id, .attempt = attempt, .disposition = disposition, .retryAfter = expectedWait(call.request.priority)});
     for (const auto &it : call.active) {
@@ -270,7 +268,7 @@
     }
 }
 
-bool Dispatcher::cancel(CallId id, Millis now, Actions &actions)
+bool Dispatcher::cancel(CallId id, Actions &actions)
 {
     const auto it = m_calls.find(id);
     if (it == m_calls.end() || it->second.finished) {
@@ -283,7 +281,7 @@
         m_calls.erase(it);
         return neverSent;
     }
-    finish(call, call.active.front().number, Disposition::Unknown, now, actions);
+    finish(call, call.active.front().number, Disposition::Unknown, actions);
     return false;
 }
 
@@ -309,7 +307,7 @@
         it.takeExpired(now, expired);
     }
     for (const auto &it : expired) {
-        refuse(it.id, RefusalReason::Expired, now, actions);
+        refuse(it.id, RefusalReason::Expired, actions);
     }
 }
 
--- a/src/core/dispatch/dispatcher.h
+++ b/src/core/dispatch/dispatcher.h
@@ -74,7 +74,7 @@
     void submit(const CallRequest &request, Millis now, Actions &actions);
     void attemptEnded(CallId call, AttemptNumber attempt, const AttemptResult &result, Millis now, Actions &actions);
     /// Nobody waits for the call any more. Returns whether it had not been sent anywhere.
-    bool cancel(CallId call, Millis now, Actions &actions);
+    bool cancel(CallId call, Actions &actions);
     void probeEnded(UpstreamId upstream, bool healthy, const LoadReport &report, Millis now, Actions &actions);
     /// Expires queued calls, hedges late ones and asks for probes; due every few milliseconds.
     void tick(Millis now, Actions &actions);
@@ -131,8 +131,8 @@
     bool sendFrom(Priority priority, PlaceRule rule, Millis now, Actions &actions);
     void send(Pending &call, UpstreamId upstream, bool hedge, Millis now, Actions &actions);
     void enqueue(Pending &call, bool next, Millis now);
-    void refuse(CallId call, RefusalReason reason, Millis now, Actions &actions);
-    void finish(Pending &call, AttemptNumber attempt, Disposition disposition, Millis now, Actions &actions);
+    void refuse(CallId call, RefusalReason reason, Actions &actions);
+    void finish(Pending &call, AttemptNumber attempt, Disposition disposition, Actions &actions);
     bool mayRetry(const Pending &call, const AttemptResult &result, Millis now);
     bool waitWouldPassDeadline(const CallRequest &request, Millis now) const;
     Millis latestStart(const CallRequest &request, Millis now) const;
--- a/src/core/idempotency/keytable.cpp
+++ b/src/core/idempotency/keytable.cpp
@@ -129,6 +129,13 @@
     }
 }
 
+KeyTable::Age KeyTable::takeOldest()
+{
+    auto oldest = std::move(m_ages.front());
+    m_ages.pop_front();
+    return oldest;
+}
+
 // What is dropped early shortens the time the table vouches for: a repeat of it gets "unknown", never a second run.
 void KeyTable::makeRoom()
 {
@@ -136,8 +143,7 @@
         if (m_ages.size() <= 1) {
             return;
         }
-        const auto oldest = m_ages.front();
-        m_ages.pop_front();
+        const auto oldest = takeOldest();
         const auto it = m_entries.find(oldest.key);
         if (it == m_entries.end() || it->second.since != oldest.since) {
             continue;
@@ -194,8 +200,7 @@
 void KeyTable::expire(Millis now)
 {
     while (!m_ages.empty() && now - m_ages.front().since > m_options.window) {
-        const auto oldest = m_ages.front();
-        m_ages.pop_front();
+        const auto oldest = takeOldest();
         const auto it = m_entries.find(oldest.key);
         if (it == m_entries.end() || it->second.since != oldest.since) {
             continue;
--- a/src/core/idempotency/keytable.h
+++ b/src/core/idempotency/keytable.h
@@ -148,6 +148,7 @@
     KeyVerdict verdictOf(const Entry &entry, std::string_view asker) const;
     Entry &put(std::string_view key, State state, Millis now);
     void erase(std::string_view key);
+    Age takeOldest();
     void makeRoom();
 
     KeyTableOptions m_options;
--- a/src/core/membership/membership.cpp
+++ b/src/core/membership/membership.cpp
@@ -123,7 +123,7 @@
 void Membership::learn(const Member &news, Millis now, MembershipActions &actions)
 {
     if (news.info.host == m_self.info.host) {
-        learnSelf(news, now);
+        learnSelf(news);
         return;
     }
     const auto it = m_known.find(news.info.host);
@@ -157,7 +157,7 @@
 }
 
 // Others believe something worse of this member than is true: a higher incarnation corrects them.
-void Membership::learnSelf(const Member &news, Millis /*now*/)
+void Membership::learnSelf(const Member &news)
 {
     const bool worse = news.state > m_self.state && news.incarnation >= m_self.incarnation;
     if (worse || news.incarnation > m_self.incarnation) {
@@ -218,7 +218,7 @@
     actions.emplace_back(SendMessage{.to = to, .message = std::move(message)});
 }
 
-bool Membership::noticePause(Millis now)
+void Membership::noticePause(Millis now)
 {
     const bool paused = m_ticked && now - m_lastTick > pauseGap;
     m_ticked = true;
@@ -232,7 +232,6 @@
             }
         }
     }
-    return paused;
 }
 
 void Membership::tick(Millis now, MembershipActions &actions)
@@ -246,7 +245,7 @@
     }
     if (now >= m_nextLook) {
         m_nextLook = now + lookEvery;
-        lookForLost(now, actions);
+        lookForLost(actions);
     }
 }
 
@@ -344,7 +343,7 @@
 }
 
 // Seeds nobody answers at, and the dead: they may only have been cut off.
-void Membership::lookForLost(Millis /*now*/, MembershipActions &actions)
+void Membership::lookForLost(MembershipActions &actions)
 {
     std::vector<Address> lost;
     for (const auto &[host, it] : m_known) {
@@ -393,19 +392,19 @@
     }
 }
 
-void Membership::setConfig(const ConfigPosition &config, Millis /*now*/, MembershipActions &actions)
+void Membership::setConfig(const ConfigPosition &config, MembershipActions &actions)
 {
     m_self.config = config;
     tellSome(actions);
 }
 
-void Membership::leave(Millis /*now*/, MembershipActions &actions)
+void Membership::leave(MembershipActions &actions)
 {
     m_self.state = MemberState::Leaving;
     tellSome(actions);
 }
 
-void Membership::leftNow(Millis /*now*/, MembershipActions &actions)
+void Membership::leftNow(MembershipActions &actions)
 {
     m_self.state = MemberState::Left;
     for (const auto &[host, it] : m_known) {
--- a/src/core/membership/membership.h
+++ b/src/core/membership/membership.h
@@ -59,10 +59,10 @@
     /// More addresses to look for members at; a hint that never removes anybody.
     void addSeeds(std::span<const Address> seeds);
     /// The configuration has moved on: tell some members at once.
-    void setConfig(const ConfigPosition &config, Millis now, MembershipActions &actions);
-    void leave(Millis now, MembershipActions &actions);
+    void setConfig(const ConfigPosition &config, MembershipActions &actions);
+    void leave(MembershipActions &actions);
     /// Last word before the process ends.
-    void leftNow(Millis now, MembershipActions &actions);
+    void leftNow(MembershipActions &actions);
 
     const Member &self() const
     {
@@ -104,7 +104,7 @@
     };
 
     void learn(const Member &news, Millis now, MembershipActions &actions);
-    void learnSelf(const Member &news, Millis now);
+    void learnSelf(const Member &news);
     void setState(Known &known, MemberState state, Millis now, MembershipActions &actions);
     void send(const Address &to, MessageKind kind, std::uint64_t sequence, const Address &target, MembershipActions &actions);
     std::vector<Member> takeNews();
@@ -113,12 +113,12 @@
     void probeIndirectly(const Probe &probe, MembershipActions &actions);
     void suspect(const std::string &host, Millis now, MembershipActions &actions);
     void endSuspicions(Millis now, MembershipActions &actions);
-    void lookForLost(Millis now, MembershipActions &actions);
+    void lookForLost(MembershipActions &actions);
     void tellSome(MembershipActions &actions);
     void welcome(const Member &newcomer, MembershipActions &actions);
     std::vector<const Known *> pickSome(std::size_t count, std::string_view except);
     int tellingsWanted() const;
-    bool noticePause(Millis now);
+    void noticePause(Millis now);
 
     MembershipOptions m_options;
     Member m_self;
--- a/src/core/routing/upstreamload.cpp
+++ b/src/core/routing/upstreamload.cpp
@@ -48,7 +48,7 @@
     ++m_inFlight;
     ++m_inFlightBy[indexOf(priority)];
     m_sentAtSum += now.count;
-    return {.sentAt = now, .priority = priority, .ownInFlight = m_inFlight, .expectedWaitFactor = std::max(1.0, (ahead + 1) / m_slots)};
+    return {.sentAt = now, .priority = priority, .expectedWaitFactor = std::max(1.0, (ahead + 1) / m_slots)};
 }
 
 void UpstreamLoad::end(
--- a/src/core/routing/upstreamload.h
+++ b/src/core/routing/upstreamload.h
@@ -38,8 +38,7 @@
 {
     Millis sentAt;
     Priority priority = Priority::Normal;
-    /// In flight by this dispatcher when the attempt left, itself included.
-    int ownInFlight = 0;
+    /// Wait that the calls ahead explain, as a factor on the time of a call.
     double expectedWaitFactor = 1;
 };
 
--- a/src/core/usage/usagechain.cpp
+++ b/src/core/usage/usagechain.cpp
@@ -133,15 +133,4 @@
     }
 }
 
-UsageTable UsageAudit::total() const
-{
-    UsageTable sum;
-    for (const auto &[source, table] : m_sources) {
-        for (const auto &[key, counters] : table) {
-            sum[key] += counters;
-        }
-    }
-    return sum;
-}
-
 }
--- a/src/core/usage/usagechain.h
+++ b/src/core/usage/usagechain.h
@@ -106,7 +106,10 @@
     {
         return m_repeats;
     }
-    UsageTable total() const;
+    UsageTable total() const
+    {
+        return sumOf(m_sources);
+    }
     /// Use by day: counts are booked on the day of the record that first showed them.
     const std::map<std::int64_t, UsageTable> &byDay() const
     {
@@ -124,7 +127,7 @@
     void book(std::int64_t offset, const UsageRecord &record, const UsageEntry &entry);
 
     std::map<UsageSource, Chain> m_chains;
-    std::map<UsageSource, UsageTable> m_sources;
+    UsageBySource m_sources;
     std::map<std::int64_t, UsageTable> m_byDay;
     std::vector<ChainFault> m_faults;
     std::uint64_t m_records = 0;
--- a/src/core/usage/usageledger.cpp
+++ b/src/core/usage/usageledger.cpp
@@ -45,10 +45,10 @@
     }
 }
 
-UsageTable UsageLedger::total() const
+UsageTable sumOf(const UsageBySource &sources)
 {
     UsageTable sum;
-    for (const auto &[source, table] : m_sources) {
+    for (const auto &[source, table] : sources) {
         for (const auto &[key, counters] : table) {
             sum[key] += counters;
         }
--- a/src/core/usage/usageledger.h
+++ b/src/core/usage/usageledger.h
@@ -62,6 +62,10 @@
 };
 
 using UsageTable = std::map<UsageKey, UsageCounters>;
+using UsageBySource = std::map<UsageSource, UsageTable>;
+
+/// Sum over all sources.
+UsageTable sumOf(const UsageBySource &sources);
 
 /// Cumulative counters of this process and copies of others'.
 class UsageLedger
@@ -76,7 +80,7 @@
     {
         return m_self;
     }
-    const std::map<UsageSource, UsageTable> &sources() const
+    const UsageBySource &sources() const
     {
         return m_sources;
     }
@@ -84,12 +88,14 @@
     {
         return m_sources.at(m_self);
     }
-    /// Sum over all sources.
-    UsageTable total() const;
+    UsageTable total() const
+    {
+        return sumOf(m_sources);
+    }
 
 private:
     UsageSource m_self;
-    std::map<UsageSource, UsageTable> m_sources;
+    UsageBySource m_sources;
 };
 
 }
--- a/src/daemon/control.cpp
+++ b/src/daemon/control.cpp
@@ -283,7 +283,7 @@
 {
     m_traffic.setConfig(m_config.runtimeConfig());
     Membership::MembershipActions actions;
-    m_membership.setConfig(m_config.position(), steadyNow(), actions);
+    m_membership.setConfig(m_config.position(), actions);
     carryOut(actions);
     publishMembers();
     m_config.announce();
@@ -346,7 +346,7 @@
 {
     boost::asio::post(m_context, [this] {
         Membership::MembershipActions actions;
-        m_membership.leave(steadyNow(), actions);
+        m_membership.leave(actions);
         carryOut(actions);
         publishMembers();
     });
@@ -366,7 +366,7 @@
         m_usage.share(m_membership.serving());
         m_usage.write(m_membership.others());
         Membership::MembershipActions actions;
-        m_membership.leftNow(steadyNow(), actions);
+        m_membership.leftNow(actions);
         carryOut(actions);
         done.set_value();
     });
--- a/src/daemon/servicerunner.cpp
+++ b/src/daemon/servicerunner.cpp
@@ -116,7 +116,7 @@
 {
     const std::lock_guard lock(m_mutex);
     Actions actions;
-    const bool neverSent = m_dispatcher.cancel(call.request.id, Process::steadyNow(), actions);
+    const bool neverSent = m_dispatcher.cancel(call.request.id, actions);
     carryOut(actions);
     m_calls.erase(call.request.id);
     if (neverSent) {
--- a/src/standin/caller.cpp
+++ b/src/standin/caller.cpp
@@ -222,8 +222,7 @@
             }
         }
         const auto answer = m_connection->exchange(request, callTimeout, maxAnswer);
-        if (const auto *failure = std::get_if<Net::HttpError>(&answer)) {
-            (void)failure;
+        if (std::holds_alternative<Net::HttpError>(answer)) {
             m_connection.reset();
             return Ending::NoAnswer;
         }
--- a/tests/dispatch/dispatcher.cpp
+++ b/tests/dispatch/dispatcher.cpp
@@ -253,8 +253,8 @@
     Bed bed(1);
     bed.saturate(10);
     const auto waiting = bed.submit(Priority::Normal, true, 10_s);
-    CHECK(bed.dispatcher.cancel(waiting, bed.now, bed.actions));
-    CHECK_FALSE(bed.dispatcher.cancel(waiting, bed.now, bed.actions));
+    CHECK(bed.dispatcher.cancel(waiting, bed.actions));
+    CHECK_FALSE(bed.dispatcher.cancel(waiting, bed.actions));
     CHECK_FALSE(bed.dispatcher.checkInvariants());
 }
 
@@ -263,7 +263,7 @@
     Bed bed;
     const auto call = bed.submit(Priority::Urgent, false);
     const auto sent = bed.takeSent();
-    CHECK_FALSE(bed.dispatcher.cancel(call, bed.now, bed.actions));
+    CHECK_FALSE(bed.dispatcher.cancel(call, bed.actions));
     CHECK(bed.take<CancelAttempt>().at(0).upstream == sent.upstream);
     CHECK(bed.take<FinishCall>().at(0).disposition == Disposition::Unknown);
     bed.end(sent, {.outcome = AttemptOutcome::Answered});
--- a/tests/membership/fakenetwork.h
+++ b/tests/membership/fakenetwork.h
@@ -65,10 +65,10 @@
         return *m_nodes[static_cast<std::size_t>(node)].membership;
     }
 
-    void act(int node, const std::function<void(Membership::Membership &, Millis, Membership::MembershipActions &)> &what)
+    void act(int node, const std::function<void(Membership::Membership &, Membership::MembershipActions &)> &what)
     {
         Membership::MembershipActions actions;
-        what(member(node), m_now, actions);
+        what(member(node), actions);
         carryOut(node, actions);
     }
 
--- a/tests/membership/membership.cpp
+++ b/tests/membership/membership.cpp
@@ -62,13 +62,13 @@
 {
     FakeNetwork network(hosts, 4);
     network.run(10_s);
-    network.act(3, [](auto &it, Millis now, auto &actions) { it.leave(now, actions); });
+    network.act(3, [](auto &it, auto &actions) { it.leave(actions); });
     network.run(2_s);
     for (int i = 0; i < hosts; ++i) {
         const auto serving = network.member(i).serving();
         CHECK(std::none_of(serving.begin(), serving.end(), [](const auto &it) { return it.info.host == "host-3"; }));
     }
-    network.act(3, [](auto &it, Millis now, auto &actions) { it.leftNow(now, actions); });
+    network.act(3, [](auto &it, auto &actions) { it.leftNow(actions); });
     network.setRunning(3, false);
     network.run(3_s);
     CHECK(network.allSee(3, MemberState::Left));
@@ -145,7 +145,7 @@
 {
     FakeNetwork network(hosts, 10);
     network.run(10_s);
-    network.act(3, [](auto &it, Millis now, auto &actions) { it.setConfig({.offset = 42, .hash = 7}, now, actions); });
+    network.act(3, [](auto &it, auto &actions) { it.setConfig({.offset = 42, .hash = 7}, actions); });
     network.run(4_s);
     for (int i = 0; i < hosts; ++i) {
         if (i != 3) {
