A note is looked for in the log before it is appended; probes are booked on their owner

The check is right: what is in the log need not be sent again. And the measuring of upstreams was counted, but booked on nobody.

Change: publish reads the log for the note's id first. Probes are booked on the owner of the service under "(measuring)", in the usage, its records and the command line; a test for it.

--- a/src/cli/usagecommands.cpp
+++ b/src/cli/usagecommands.cpp
@@ -25,12 +25,13 @@
             {"refused", it.refused},
             {"slot_seconds", static_cast<double>(it.slotMicros) / microsPerSecond},
             {"bytes_in", it.bytesIn},
-            {"bytes_out", it.bytesOut}};
+            {"bytes_out", it.bytesOut},
+            {"probes", it.probes}};
 }
 
 void printTable(const Usage::UsageTable &table)
 {
-    std::cout << absl::StrFormat("%-14s %-24s %-16s %10s %10s %12s %14s %14s\n",
+    std::cout << absl::StrFormat("%-14s %-24s %-16s %10s %10s %12s %14s %14s %8s\n",
                                  "owner",
                                  "partner",
                                  "service",
@@ -38,9 +39,10 @@
                                  "refused",
                                  "slot s",
                                  "bytes in",
-                                 "bytes out");
+                                 "bytes out",
+                                 "probes");
     for (const auto &[key, it] : table) {
-        std::cout << absl::StrFormat("%-14s %-24s %-16s %10d %10d %12.2f %14d %14d\n",
+        std::cout << absl::StrFormat("%-14s %-24s %-16s %10d %10d %12.2f %14d %14d %8d\n",
                                      key.owner,
                                      key.partner,
                                      key.service,
@@ -48,7 +50,8 @@
                                      it.refused,
                                      static_cast<double>(it.slotMicros) / microsPerSecond,
                                      it.bytesIn,
-                                     it.bytesOut);
+                                     it.bytesOut,
+                                     it.probes);
     }
 }
 
@@ -100,7 +103,8 @@
                                                .refused = it.value("refused", std::uint64_t{0}),
                                                .slotMicros = it.value("slot_micros", std::uint64_t{0}),
                                                .bytesIn = it.value("bytes_in", std::uint64_t{0}),
-                                               .bytesOut = it.value("bytes_out", std::uint64_t{0})});
+                                               .bytesOut = it.value("bytes_out", std::uint64_t{0}),
+                                               .probes = it.value("probes", std::uint64_t{0})});
         }
     }
     return sumOf(sources);
--- a/src/daemon/adminhandler.cpp
+++ b/src/daemon/adminhandler.cpp
@@ -239,7 +239,8 @@
                                {"refused", it.refused},
                                {"slot_micros", it.slotMicros},
                                {"bytes_in", it.bytesIn},
-                               {"bytes_out", it.bytesOut}});
+                               {"bytes_out", it.bytesOut},
+                               {"probes", it.probes}});
         }
     }
     return Json{{"usage", sources}}.dump(2) + "\n";
--- a/src/daemon/configkeeper.cpp
+++ b/src/daemon/configkeeper.cpp
@@ -141,7 +141,8 @@
 {
     const auto until = steadyNow() + publishLimit;
     const auto from = position().offset + 1;
-    bool inLog = false;
+    // The same note may have been published elsewhere and not have come here yet.
+    bool inLog = findInLog(log, id, from);
     while (!inLog && steadyNow() < until) {
         const auto appended = log.append(Net::noteStream, text, appendTimeout);
         inLog = std::holds_alternative<Config::Offset>(appended);
--- a/src/daemon/servicerunner.cpp
+++ b/src/daemon/servicerunner.cpp
@@ -33,11 +33,11 @@
 
 }
 
-ServiceRunner::ServiceRunner(std::string name, const ServiceRunnerOptions &options, WorkerPool &pool, DrainingHandler onDraining)
+ServiceRunner::ServiceRunner(std::string name, const ServiceRunnerOptions &options, WorkerPool &pool, ServiceRunnerHandlers handlers)
     : m_name(std::move(name))
     , m_options(options)
     , m_pool(pool)
-    , m_onDraining(std::move(onDraining))
+    , m_handlers(std::move(handlers))
     , m_dispatcher(dispatcherOptions(options, Config::Service{}, m_name))
 {
 }
@@ -205,13 +205,14 @@
         carryOut(actions);
     }
     if (newlyDraining) {
-        m_onDraining(m_name, job.port->name);
+        m_handlers.draining(m_name, job.port->name);
     }
 }
 
 void ServiceRunner::runProbe(Dispatch::UpstreamId upstream, const std::shared_ptr<UpstreamPort> &port)
 {
     const auto end = performProbe(*port);
+    m_handlers.probed(m_name);
     const std::lock_guard lock(m_mutex);
     if (m_dispatcher.router().slots()[upstream].spec.name != port->name) {
         return;
--- a/src/daemon/servicerunner.h
+++ b/src/daemon/servicerunner.h
@@ -33,13 +33,20 @@
     Millis idleConnection{15000};
 };
 
+/// What a service's runner tells others of.
+struct ServiceRunnerHandlers
+{
+    /// An upstream said that it drains.
+    std::function<void(const std::string &service, const std::string &upstream)> draining;
+    /// An upstream was probed.
+    std::function<void(const std::string &service)> probed;
+};
+
 /// Drives the dispatcher of one service: carries out its actions on real connections.
 class ServiceRunner
 {
 public:
-    using DrainingHandler = std::function<void(const std::string &service, const std::string &upstream)>;
-
-    ServiceRunner(std::string name, const ServiceRunnerOptions &options, WorkerPool &pool, DrainingHandler onDraining);
+    ServiceRunner(std::string name, const ServiceRunnerOptions &options, WorkerPool &pool, ServiceRunnerHandlers handlers);
 
     void configure(const ServiceView &view);
     void setDispatchers(std::span<const std::string> names, std::string_view self);
@@ -75,7 +82,7 @@
     std::string m_name;
     ServiceRunnerOptions m_options;
     WorkerPool &m_pool;
-    DrainingHandler m_onDraining;
+    ServiceRunnerHandlers m_handlers;
     mutable std::mutex m_mutex;
     Dispatch::Dispatcher m_dispatcher;
     std::map<std::string, std::shared_ptr<UpstreamPort>, std::less<>> m_ports;
--- a/src/daemon/traffic.cpp
+++ b/src/daemon/traffic.cpp
@@ -24,7 +24,7 @@
     return chosenMembers(service.name, serving, static_cast<std::size_t>(service.service.dispatchers));
 }
 
-Traffic::Traffic(const Settings &settings, ServiceRunner::DrainingHandler onDraining, Usage::UsageSource self)
+Traffic::Traffic(const Settings &settings, DrainingHandler onDraining, Usage::UsageSource self)
     : m_settings(settings)
     , m_onDraining(std::move(onDraining))
     , m_usage(std::move(self))
@@ -48,7 +48,10 @@
         for (const auto &[name, view] : m_config->services()) {
             auto &runner = m_runners[name];
             if (!runner) {
-                runner = std::make_shared<ServiceRunner>(name, options, m_pool, m_onDraining);
+                runner = std::make_shared<ServiceRunner>(
+                    name, options, m_pool, ServiceRunnerHandlers{.draining = m_onDraining, .probed = [this](const std::string &service) {
+                                                                     countProbe(service);
+                                                                 }});
             }
             runner->configure(view);
         }
@@ -123,6 +126,15 @@
     return m_members;
 }
 
+void Traffic::countProbe(const std::string &service)
+{
+    const auto present = config();
+    const auto *view = present->findService(service);
+    if (view != nullptr) {
+        countUse({.owner = view->service.owner, .partner = std::string(measuringPartner), .service = service}, {.probes = 1});
+    }
+}
+
 void Traffic::countUse(const Usage::UsageKey &key, const Usage::UsageCounters &use)
 {
     const std::lock_guard lock(m_usageMutex);
--- a/src/daemon/traffic.h
+++ b/src/daemon/traffic.h
@@ -9,6 +9,7 @@
 #include "daemon/workerpool.h"
 
 #include <atomic>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -20,11 +21,16 @@
 namespace Laburnummast::Daemon
 {
 
+/// Stands for no partner in the usage of measuring; no partner's name has brackets.
+constexpr std::string_view measuringPartner = "(measuring)";
+
 /// What control has told traffic: the configuration, the members, and a runner for each service.
 class Traffic
 {
 public:
-    Traffic(const Settings &settings, ServiceRunner::DrainingHandler onDraining, Usage::UsageSource self);
+    using DrainingHandler = std::function<void(const std::string &service, const std::string &upstream)>;
+
+    Traffic(const Settings &settings, DrainingHandler onDraining, Usage::UsageSource self);
 
     void setConfig(std::shared_ptr<const RuntimeConfig> config);
     void setMembers(std::vector<Membership::Member> serving, std::vector<Membership::Member> all);
@@ -50,9 +56,11 @@
 
 private:
     void updateDispatchers();
+    /// Measuring is booked on the owner of what is measured.
+    void countProbe(const std::string &service);
 
     Settings m_settings;
-    ServiceRunner::DrainingHandler m_onDraining;
+    DrainingHandler m_onDraining;
     mutable std::shared_mutex m_mutex;
     std::shared_ptr<const RuntimeConfig> m_config;
     std::map<std::string, std::shared_ptr<ServiceRunner>, std::less<>> m_runners;
--- a/tests/daemon/calls.cpp
+++ b/tests/daemon/calls.cpp
@@ -228,6 +228,17 @@
     CHECK(eventually([&] { return system.call(0, "GET", "s/short").head.status == 200; }));
 }
 
+TEST_CASE("Probes of a quiet upstream are booked on the owner of its service")
+{
+    System system(1, 1);
+    system.deploy();
+    CHECK(eventually([&] {
+        const auto usage = system.state(0, "/v1/usage")["usage"];
+        return !usage.empty() && usage[0]["owner"] == "o" && usage[0]["partner"] == std::string(Daemon::measuringPartner)
+            && usage[0]["probes"] > 0;
+    }));
+}
+
 TEST_CASE("Entry lists name the members that serve, and a leaving one no more")
 {
     System system(2, 1);
--- a/tests/daemon/system.h
+++ b/tests/daemon/system.h
@@ -127,6 +127,7 @@
         settings.entryThreads = 32;
         settings.entryTtl = Millis{200};
         settings.bufferedBytes = 64 << 10;
+        settings.probeAfter = Millis{200};
         settings.connectionDaemons = 4;
         settings.seeds = m_settings.empty() ? std::vector<Net::Address>{} : std::vector<Net::Address>{m_settings.front().peerAddress};
         m_settings.push_back(settings);
