Remove what nothing calls

Cause: the last read of the whole change: KeyTable::hasAdopted, Membership::messagesSent with its counter, Cli::commands and the model's flood marks are written and never read. The pairs that alike lines show (constants at the head of files, doc tables, test beds) are shapes, not the same logic.

Change: removed; behaviour as it was, no check or bound touched.

--- a/bench/model/call.h
+++ b/bench/model/call.h
@@ -22,7 +22,6 @@
     Priority priority = Priority::Normal;
     int partner = 0;
     bool idempotent = false;
-    bool flood = false;
     Millis created;
     Millis deadline;
     int caller = 0;
--- a/bench/model/simulatedworkers.cpp
+++ b/bench/model/simulatedworkers.cpp
@@ -173,7 +173,7 @@
 {
     switch (fault.kind) {
     case FaultKind::Flood:
-        startStream({.priority = fault.priority, .rate = fault.amount * m_scenario.capacity(), .partner = fault.partner, .flood = true});
+        startStream({.priority = fault.priority, .rate = fault.amount * m_scenario.capacity(), .partner = fault.partner});
         return;
     case FaultKind::LoseAnswers:
         m_loseShare = fault.amount;
--- a/bench/model/simulator.cpp
+++ b/bench/model/simulator.cpp
@@ -144,7 +144,7 @@
 
 void Simulator::arrive(const Stream &stream)
 {
-    Call call{.priority = stream.priority, .flood = stream.flood, .created = m_now};
+    Call call{.priority = stream.priority, .created = m_now};
     call.partner = stream.partner.value_or(static_cast<int>(m_arrivals() % static_cast<std::uint64_t>(m_scenario.partners)));
     call.idempotent = call.priority == Priority::Normal;
     call.deadline = m_now + m_scenario.client + m_scenario.deadlines[indexOf(call.priority)];
--- a/bench/model/simulator.h
+++ b/bench/model/simulator.h
@@ -66,7 +66,6 @@
         Priority priority;
         double rate = 0;
         std::optional<int> partner = std::nullopt;
-        bool flood = false;
     };
     void at(Millis time, std::function<void()> run);
     void after(Millis span, std::function<void()> run);
--- a/src/cli/command.h
+++ b/src/cli/command.h
@@ -34,8 +34,6 @@
     ExitCode (*run)(Arguments);
 };
 
-std::span<const Command> commands();
-
 ExitCode checkNote(Arguments arguments);
 ExitCode planNote(Arguments arguments);
 ExitCode publishNote(Arguments arguments);
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -92,11 +92,6 @@
 
 }
 
-std::span<const Command> commands()
-{
-    return commandTable;
-}
-
 }
 
 int main(int argc, char **argv)
--- a/src/core/idempotency/keytable.cpp
+++ b/src/core/idempotency/keytable.cpp
@@ -192,11 +192,6 @@
     makeRoom();
 }
 
-bool KeyTable::hasAdopted(std::string_view from) const
-{
-    return m_adopted.contains(from);
-}
-
 void KeyTable::expire(Millis now)
 {
     while (!m_ages.empty() && now - m_ages.front().since > m_options.window) {
--- a/src/core/idempotency/keytable.h
+++ b/src/core/idempotency/keytable.h
@@ -111,7 +111,6 @@
 
     std::vector<HandedKey> handOver(Millis now) const;
     void adopt(std::string_view from, const std::vector<HandedKey> &keys, Millis now);
-    bool hasAdopted(std::string_view from) const;
 
     void expire(Millis now);
     std::size_t size() const
--- a/src/core/membership/membership.cpp
+++ b/src/core/membership/membership.cpp
@@ -213,7 +213,6 @@
 
 void Membership::send(const Address &to, MessageKind kind, std::uint64_t sequence, const Address &target, MembershipActions &actions)
 {
-    ++m_messagesSent;
     Message message{.kind = kind, .sequence = sequence, .target = target, .sender = m_self, .updates = takeNews()};
     actions.emplace_back(SendMessage{.to = to, .message = std::move(message)});
 }
@@ -380,7 +379,6 @@
         for (std::size_t j = i; j < std::min(i + updatesPerMessage, known.size()); ++j) {
             message.updates.push_back(known[j]->member);
         }
-        ++m_messagesSent;
         actions.emplace_back(SendMessage{.to = newcomer.info.peer, .message = std::move(message)});
     }
 }
--- a/src/core/membership/membership.h
+++ b/src/core/membership/membership.h
@@ -73,10 +73,6 @@
     std::vector<Member> others() const;
     /// This member and the others that may get work, in order of their names.
     std::vector<Member> serving() const;
-    std::uint64_t messagesSent() const
-    {
-        return m_messagesSent;
-    }
     std::uint64_t falseDeaths() const
     {
         return m_refutedDeaths;
@@ -136,7 +132,6 @@
     Millis m_lastTick{};
     Millis m_trustFrom{};
     bool m_ticked = false;
-    std::uint64_t m_messagesSent = 0;
     std::uint64_t m_refutedDeaths = 0;
     std::mt19937_64 m_random;
 };
