--- /dev/null
+++ b/src/core/fleet/readerchoice.h
@@ -0,0 +1,35 @@
+#ifndef LABURNUMMAST_CORE_FLEET_READERCHOICE_H
+#define LABURNUMMAST_CORE_FLEET_READERCHOICE_H
+
+#include "core/millis.h"
+
+#include <cstddef>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace Laburnummast::Fleet
+{
+
+struct ReaderRules
+{
+    /// Longest time for which the store holds a read open.
+    Millis wait{1000};
+    /// A word this much older than that is stale.
+    Millis staleAfter{400};
+    /// Each place in the order waits this much longer before it reads itself.
+    Millis step{150};
+};
+
+/// Place of `self` in the order in which daemons take over the reading of a topic; 0 reads first.
+std::size_t readerPlace(std::string_view topic, std::span<const std::string> daemons, std::string_view self);
+
+/// Whether a daemon should read a topic of the store itself.
+///
+/// One daemon reads and the others hear it from that one. Where its word grows stale the next in the order begins, so
+/// that a daemon which cannot reach the store, or its peers, is replaced within a second or two.
+bool shouldRead(std::size_t place, Millis contactAge, bool readsAlready, bool betterReads, const ReaderRules &rules);
+
+}
+
+#endif
--- a/src/core/membership/membership.cpp
+++ b/src/core/membership/membership.cpp
@@ -375,7 +375,7 @@
     std::shuffle(known.begin(), known.end(), m_random);
     known.resize(std::min(known.size(), welcomeMessages * updatesPerMessage));
     for (std::size_t i = 0; i < known.size(); i += updatesPerMessage) {
-        Message message{.kind = MessageKind::News, .sender = m_self, .updates = {}};
+        Message message{.kind = MessageKind::News, .target = {}, .sender = m_self, .updates = {}};
         for (std::size_t j = i; j < std::min(i + updatesPerMessage, known.size()); ++j) {
             message.updates.push_back(known[j]->member);
         }
--- /dev/null
+++ b/src/core/placement/placementoptions.h
@@ -0,0 +1,37 @@
+#ifndef LABURNUMMAST_CORE_PLACEMENT_PLACEMENTOPTIONS_H
+#define LABURNUMMAST_CORE_PLACEMENT_PLACEMENTOPTIONS_H
+
+#include "core/millis.h"
+#include "core/retry/sharedretrybudget.h"
+
+#include <cstddef>
+#include <string>
+
+namespace Laburnummast::Placement
+{
+
+struct PlacementOptions
+{
+    /// Failure domain of this daemon.
+    std::string domain;
+    Retry::SharedRetryBudgetOptions retries;
+    /// Probes a second that this daemon may send to the service's upstreams.
+    double probesPerSecond = 100;
+    /// Upstreams asked at first, and again where none of them suits.
+    std::size_t askFirst = 4;
+    std::size_t askMore = 6;
+    /// A load heard of within this time is as good as a new one.
+    Millis freshFor{6};
+    /// Answers to probes are waited for no longer: a few network round trips within a region.
+    Millis roundTime{8};
+    /// Pause before a waiting call asks again: about a tenth of the time of a call.
+    Millis askAgain{10};
+    /// Share of the objective that a call may wait for a slot before it is refused.
+    double holdShare = 0.125;
+    /// Share of the retry budget that hedges leave to retries.
+    double hedgeReserve = 0.4;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/src/core/placement/servicedispatcher.cpp
@@ -0,0 +1,583 @@
+#include "core/placement/servicedispatcher.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Laburnummast::Placement
+{
+namespace
+{
+
+using Dispatch::Disposition;
+using Dispatch::RefusalReason;
+
+// Usual time of a call before any was measured.
+constexpr Millis firstTypical = 50_ms;
+constexpr double typicalWeight = 0.05;
+// An upstream up to this factor slower than usual suits at once.
+constexpr double goodSlowness = 1.5;
+// An upstream that fails more often than this is taken only where nothing else suits.
+constexpr double goodFailureRate = 0.2;
+// What one failure costs, in times of a call: it has to be made again.
+constexpr double failureCost = 6;
+// What another failure domain costs in time, for plain and for bulk calls.
+constexpr Millis remoteCost = 1_ms;
+constexpr Millis remoteBulkCost = 15_ms;
+// A hedge goes out once a call takes this factor on the usual time.
+constexpr double hedgeFactor = 1.6;
+constexpr int maxRounds = 2;
+// With no probe left to spend, what was heard within this time has to do.
+constexpr Millis staleButUsable = 1_s;
+// Probes without a word on load after which a service counts as one that tells none.
+constexpr int silentProbes = 6;
+// After a deadline the upstream's own last word is still waited for this long.
+constexpr Millis answerGrace = 40_ms;
+// An upstream is not sent more than its slots and this many waiting calls: beyond its queue it resets connections.
+constexpr double maxQueued = 2;
+// Burst of probes that may go out at once, in seconds of their rate.
+constexpr double probeBurstSeconds = 1;
+
+}
+
+ServiceDispatcher::ServiceDispatcher(const PlacementOptions &options, std::uint64_t seed)
+    : m_options(options)
+    , m_random(seed)
+    , m_budget(options.retries)
+    , m_probeTokens(options.probesPerSecond, options.probesPerSecond * probeBurstSeconds)
+    , m_typical(firstTypical)
+{
+}
+
+void ServiceDispatcher::configure(const PlacementOptions &options)
+{
+    if (options.probesPerSecond != m_options.probesPerSecond) {
+        m_probeTokens = {options.probesPerSecond, options.probesPerSecond * probeBurstSeconds};
+    }
+    m_options = options;
+    m_budget.configure(options.retries);
+}
+
+void ServiceDispatcher::setUpstreams(std::span<const UpstreamSpec> specs)
+{
+    for (auto &it : m_slots) {
+        it.present = false;
+    }
+    for (const auto &spec : specs) {
+        const auto known = m_ids.find(spec.id);
+        if (known == m_ids.end()) {
+            addSlot(spec);
+        } else {
+            m_slots[known->second].view.update(spec);
+            m_slots[known->second].present = true;
+        }
+    }
+    m_present = specs.size();
+    freeAbsentSlots();
+}
+
+void ServiceDispatcher::addSlot(const UpstreamSpec &spec)
+{
+    UpstreamId id = static_cast<UpstreamId>(m_slots.size());
+    if (m_free.empty()) {
+        m_slots.push_back({.view = UpstreamView(spec)});
+    } else {
+        id = m_free.back();
+        m_free.pop_back();
+        m_slots[id] = {.view = UpstreamView(spec)};
+    }
+    m_ids.emplace(spec.id, id);
+}
+
+void ServiceDispatcher::freeAbsentSlots()
+{
+    std::erase_if(m_ids, [&](const auto &it) {
+        const auto &slot = m_slots[it.second];
+        const bool unused = !slot.present && !slot.probing && slot.view.inFlight() == 0;
+        if (unused) {
+            m_free.push_back(it.second);
+        }
+        return unused;
+    });
+}
+
+const UpstreamView *ServiceDispatcher::view(UpstreamId upstream) const
+{
+    return upstream < m_slots.size() ? &m_slots[upstream].view : nullptr;
+}
+
+std::optional<UpstreamId> ServiceDispatcher::idOf(std::string_view name) const
+{
+    const auto it = m_ids.find(name);
+    return it == m_ids.end() ? std::nullopt : std::optional(it->second);
+}
+
+std::size_t ServiceDispatcher::waiting() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_calls.begin(), m_calls.end(), [](const auto &it) { return it.second.search == Search::First && it.second.rounds >= maxRounds; }));
+}
+
+std::vector<OutcomeCount> ServiceDispatcher::takeOutcomes()
+{
+    std::vector<OutcomeCount> outcomes;
+    for (auto &it : m_slots) {
+        if (it.good + it.bad > 0) {
+            outcomes.push_back({.upstream = it.view.spec().id, .good = it.good, .bad = it.bad});
+            it.good = 0;
+            it.bad = 0;
+        }
+    }
+    return outcomes;
+}
+
+void ServiceDispatcher::noteOthers(std::span<const OutcomeCount> outcomes, Millis now)
+{
+    for (const auto &it : outcomes) {
+        if (const auto id = idOf(it.upstream)) {
+            m_slots[*id].view.noteOthers(it.good, it.bad, now);
+        }
+    }
+}
+
+void ServiceDispatcher::submit(const CallSpec &spec, Millis now, Actions &actions)
+{
+    ++m_counters.calls;
+    m_budget.noteCall(now);
+    auto &call = m_calls[spec.id];
+    call.spec = spec;
+    call.arrived = now;
+    if (m_present == 0) {
+        ++m_counters.refused;
+        actions.emplace_back(Dispatch::RefuseCall{.call = spec.id, .reason = RefusalReason::NoUpstream, .retryAfter = retryAfter(call, now)});
+        m_calls.erase(spec.id);
+        return;
+    }
+    startSearch(call, Search::First, now, actions);
+    if (advance(call, now, actions)) {
+        m_calls.erase(spec.id);
+    }
+}
+
+void ServiceDispatcher::startSearch(Open &call, Search search, Millis now, Actions &actions)
+{
+    call.search = search;
+    call.searchSince = now;
+    call.rounds = 0;
+    call.blind = false;
+    call.asked.clear();
+    askSome(call, m_options.askFirst, now, actions);
+}
+
+bool ServiceDispatcher::candidate(const Slot &slot, Millis now) const
+{
+    return slot.present && !slot.view.leftAlone(now);
+}
+
+void ServiceDispatcher::askSome(Open &call, std::size_t count, Millis now, Actions &actions)
+{
+    ++call.rounds;
+    call.roundEnds = now + (m_tellsLoad ? m_options.roundTime : 0_ms);
+    std::vector<UpstreamId> order;
+    for (UpstreamId id = 0; id < m_slots.size(); ++id) {
+        const bool known = std::find(call.tried.begin(), call.tried.end(), id) != call.tried.end();
+        const bool asked = std::find(call.asked.begin(), call.asked.end(), id) != call.asked.end();
+        if (candidate(m_slots[id], now) && !known && !asked) {
+            order.push_back(id);
+        }
+    }
+    std::shuffle(order.begin(), order.end(), m_random);
+    if (call.spec.bulk) {
+        std::stable_partition(order.begin(), order.end(), [&](UpstreamId id) { return m_slots[id].view.spec().domain == m_options.domain; });
+    }
+    for (const auto id : order) {
+        if (count == 0) {
+            break;
+        }
+        auto &slot = m_slots[id];
+        --count;
+        call.asked.push_back(id);
+        if (!m_tellsLoad || slot.probing || slot.view.hasFresh(now, m_options.freshFor)) {
+            continue;
+        }
+        if (!m_probeTokens.take(1, now)) {
+            call.blind = true;
+            break;
+        }
+        slot.probing = true;
+        slot.probedAt = now;
+        ++m_counters.probes;
+        actions.emplace_back(Dispatch::ProbeUpstream{.upstream = id});
+    }
+}
+
+bool ServiceDispatcher::roundOver(const Open &call, Millis now) const
+{
+    return now >= call.roundEnds || std::none_of(call.asked.begin(), call.asked.end(), [&](UpstreamId id) { return m_slots[id].probing; });
+}
+
+std::optional<ServiceDispatcher::Choice> ServiceDispatcher::best(const Open &call, Millis now) const
+{
+    // What was asked in an earlier round of this search still counts in the next one.
+    const auto freshFor = call.blind ? staleButUsable : m_options.freshFor + m_options.roundTime * 2;
+    std::optional<Choice> choice;
+    double lowest = 0;
+    for (UpstreamId id = 0; id < m_slots.size(); ++id) {
+        const auto &slot = m_slots[id];
+        const auto &view = slot.view;
+        const bool asked = std::find(call.asked.begin(), call.asked.end(), id) != call.asked.end();
+        const bool known = m_tellsLoad ? view.hasFresh(now, freshFor) : asked;
+        if (!candidate(slot, now) || !known || std::find(call.tried.begin(), call.tried.end(), id) != call.tried.end()) {
+            continue;
+        }
+        if (m_tellsLoad && view.occupied() + 1 > view.slots() + maxQueued) {
+            continue;
+        }
+        const auto expected = view.expectedTime(m_typical, now);
+        const bool remote = view.spec().domain != m_options.domain;
+        const auto distance = !remote ? 0_ms : call.spec.bulk ? remoteBulkCost : remoteCost;
+        const double failures = view.failureRate(now);
+        const double cost = expected.count * (1 + failureCost * failures + 0.02 * view.occupied()) + distance.count;
+        if (!choice || cost < lowest) {
+            choice = Choice{.upstream = id, .expected = expected};
+            lowest = cost;
+        }
+    }
+    return choice;
+}
+
+bool ServiceDispatcher::isGood(const Open &call, const Choice &choice, Millis now) const
+{
+    const auto &view = m_slots[choice.upstream].view;
+    if (!m_tellsLoad) {
+        return true;
+    }
+    return view.hasRoom() && view.slowness(now) <= goodSlowness && view.failureRate(now) <= goodFailureRate
+        && now + choice.expected <= call.spec.deadline;
+}
+
+bool ServiceDispatcher::isAcceptable(const Open &call, const Choice &choice, Millis now) const
+{
+    const auto &view = m_slots[choice.upstream].view;
+    if (call.search == Search::Hedge) {
+        return false;
+    }
+    if (!view.hasSlot() && call.search == Search::First) {
+        return false;
+    }
+    return now + choice.expected <= call.spec.objective || (now >= call.spec.objective && now + choice.expected <= call.spec.deadline);
+}
+
+bool ServiceDispatcher::advance(Open &call, Millis now, Actions &actions)
+{
+    if (call.search == Search::None || !roundOver(call, now)) {
+        return false;
+    }
+    const auto choice = best(call, now);
+    if (choice && isGood(call, *choice, now)) {
+        send(call, *choice, now, actions);
+        return false;
+    }
+    if (call.rounds < maxRounds && m_tellsLoad) {
+        askSome(call, m_options.askMore, now, actions);
+        return roundOver(call, now) && advance(call, now, actions);
+    }
+    if (choice && isAcceptable(call, *choice, now)) {
+        send(call, *choice, now, actions);
+        return false;
+    }
+    if (call.search == Search::Hedge) {
+        call.search = Search::None;
+        call.hedgeAt = call.spec.deadline;
+        return false;
+    }
+    if (now >= holdLimit(call)) {
+        // The last chance: a slot that would be late is better than none.
+        if (choice && m_slots[choice->upstream].view.hasSlot() && now + choice->expected <= call.spec.deadline) {
+            send(call, *choice, now, actions);
+            return false;
+        }
+        return giveUp(call, now, actions);
+    }
+    if (now >= call.roundEnds + m_options.askAgain) {
+        ++m_counters.heldBack;
+        call.asked.clear();
+        askSome(call, m_options.askFirst, now, actions);
+    }
+    return false;
+}
+
+Millis ServiceDispatcher::holdLimit(const Open &call) const
+{
+    if (call.search == Search::Retry) {
+        return call.spec.deadline - m_typical;
+    }
+    if (call.spec.returning) {
+        return std::max(call.spec.objective - m_typical, call.arrived + (call.spec.deadline - call.arrived) * 0.25);
+    }
+    return call.arrived + (call.spec.objective - call.arrived) * m_options.holdShare;
+}
+
+void ServiceDispatcher::send(Open &call, const Choice &choice, Millis now, Actions &actions)
+{
+    auto &view = m_slots[choice.upstream].view;
+    const bool hedge = call.search == Search::Hedge;
+    if (call.search != Search::First) {
+        m_budget.noteExtra(now);
+        ++(hedge ? m_counters.hedges : m_counters.retries);
+    }
+    ++m_counters.sent;
+    const Attempt attempt{.number = call.nextAttempt++, .upstream = choice.upstream, .sentAt = now, .slowness = view.slowness(now)};
+    view.noteSent();
+    call.active.push_back(attempt);
+    call.tried.push_back(choice.upstream);
+    ++call.runs;
+    call.search = Search::None;
+    call.hedgeAt = hedge ? call.spec.deadline : hedgeTime(call, now);
+    actions.emplace_back(
+        Dispatch::SendAttempt{.call = call.spec.id, .attempt = attempt.number, .upstream = choice.upstream, .hedge = hedge});
+}
+
+Millis ServiceDispatcher::hedgeTime(const Open &call, Millis now) const
+{
+    if (!call.spec.idempotent || !m_measured) {
+        return call.spec.deadline;
+    }
+    return now + m_typical * hedgeFactor;
+}
+
+bool ServiceDispatcher::giveUp(Open &call, Millis now, Actions &actions)
+{
+    if (call.failure) {
+        finish(call, *call.failure, Disposition::Done, actions);
+        return true;
+    }
+    if (call.mayHaveRun) {
+        finish(call, 0, Disposition::Unknown, actions);
+        return true;
+    }
+    ++m_counters.refused;
+    actions.emplace_back(
+        Dispatch::RefuseCall{.call = call.spec.id, .reason = RefusalReason::Overloaded, .retryAfter = retryAfter(call, now)});
+    return true;
+}
+
+Millis ServiceDispatcher::retryAfter(const Open &call, Millis now)
+{
+    // Spread over the time that is left for an answer within the objective, or else over the time that is left at all.
+    const auto useful = call.spec.objective - now - m_typical;
+    const auto left = useful > 0_ms ? useful * 0.6 : (call.spec.deadline - now) * 0.25;
+    std::uniform_real_distribution<double> spread(0.3, 1.0);
+    return std::max(5_ms, left * spread(m_random));
+}
+
+void ServiceDispatcher::probeEnded(UpstreamId upstream, const ProbeResult &result, Millis now, Actions &actions)
+{
+    if (upstream >= m_slots.size()) {
+        return;
+    }
+    auto &slot = m_slots[upstream];
+    slot.probing = false;
+    if (!result.answered || result.stranger) {
+        slot.view.noteSilent(now);
+    } else if (result.load) {
+        slot.view.noteReport(*result.load, now);
+        m_silentOnLoad = 0;
+        m_tellsLoad = true;
+    } else if (++m_silentOnLoad >= silentProbes) {
+        m_tellsLoad = false;
+    }
+    if (result.answered && !result.stranger) {
+        if (result.healthy) {
+            slot.view.noteHealthy();
+        } else {
+            slot.view.noteUnhealthy(now);
+        }
+    }
+    advanceWaiting(now, actions);
+}
+
+void ServiceDispatcher::advanceWaiting(Millis now, Actions &actions)
+{
+    std::vector<Open *> searching;
+    for (auto &[id, it] : m_calls) {
+        if (it.search != Search::None) {
+            searching.push_back(&it);
+        }
+    }
+    std::stable_sort(searching.begin(), searching.end(), [](const Open *a, const Open *b) {
+        return a->spec.rank != b->spec.rank ? a->spec.rank < b->spec.rank : a->spec.objective < b->spec.objective;
+    });
+    for (auto *it : searching) {
+        if (advance(*it, now, actions)) {
+            m_calls.erase(it->spec.id);
+        }
+    }
+}
+
+void ServiceDispatcher::attemptEnded(CallId id,
+                                     AttemptNumber number,
+                                     AttemptOutcome outcome,
+                                     const std::optional<LoadReport> &load,
+                                     Millis now,
+                                     Actions &actions)
+{
+    const auto found = m_calls.find(id);
+    if (found == m_calls.end()) {
+        return;
+    }
+    auto &call = found->second;
+    const auto attempt = std::find_if(call.active.begin(), call.active.end(), [&](const Attempt &it) { return it.number == number; });
+    if (attempt == call.active.end()) {
+        return;
+    }
+    const bool good = outcome == AttemptOutcome::Answered;
+    const bool bad = outcome == AttemptOutcome::Failed || outcome == AttemptOutcome::Broken || outcome == AttemptOutcome::TimedOut;
+    auto &slot = m_slots[attempt->upstream];
+    slot.view.noteEnded(good ? Evidence::Good : bad ? Evidence::Bad : Evidence::None, now);
+    slot.good += good ? 1 : 0;
+    slot.bad += bad ? 1 : 0;
+    if (load) {
+        slot.view.noteReport(*load, now);
+    }
+    if (outcome == AttemptOutcome::NotSent) {
+        slot.view.noteSilent(now);
+    }
+    if (good) {
+        noteLatency(*attempt, now);
+    }
+    call.active.erase(attempt);
+    if (endAttempt(call, number, outcome, now, actions)) {
+        m_calls.erase(id);
+    }
+}
+
+bool ServiceDispatcher::endAttempt(Open &call, AttemptNumber number, AttemptOutcome outcome, Millis now, Actions &actions)
+{
+    if (outcome == AttemptOutcome::Answered) {
+        cancelOthers(call, number, now, actions);
+        finish(call, number, Disposition::Done, actions);
+        return true;
+    }
+    if (outcome == AttemptOutcome::NotSent) {
+        --call.runs;
+    }
+    call.mayHaveRun = call.mayHaveRun || outcome == AttemptOutcome::Broken || outcome == AttemptOutcome::TimedOut || outcome == AttemptOutcome::Failed;
+    if (outcome == AttemptOutcome::Failed) {
+        call.failure = number;
+    }
+    if (!call.active.empty()) {
+        return false;
+    }
+    if (mayTryAgain(call, outcome, now)) {
+        startSearch(call, Search::Retry, now, actions);
+        return advance(call, now, actions);
+    }
+    return giveUp(call, now, actions);
+}
+
+bool ServiceDispatcher::mayTryAgain(const Open &call, AttemptOutcome outcome, Millis now) const
+{
+    const bool mayRunAgain = call.spec.idempotent || !call.mayHaveRun;
+    if (!mayRunAgain || call.runs >= call.spec.maxAttempts || now + m_typical > call.spec.deadline) {
+        return false;
+    }
+    return outcome == AttemptOutcome::NotSent || m_budget.allows(now);
+}
+
+void ServiceDispatcher::finish(Open &call, AttemptNumber attempt, Disposition disposition, Actions &actions)
+{
+    actions.emplace_back(Dispatch::FinishCall{.call = call.spec.id, .attempt = attempt, .disposition = disposition, .retryAfter = {}});
+}
+
+void ServiceDispatcher::cancelOthers(Open &call, std::optional<AttemptNumber> except, Millis now, Actions &actions)
+{
+    for (const auto &it : call.active) {
+        if (it.number != except) {
+            m_slots[it.upstream].view.noteEnded(Evidence::None, now);
+            actions.emplace_back(Dispatch::CancelAttempt{.call = call.spec.id, .attempt = it.number, .upstream = it.upstream});
+        }
+    }
+    call.active.clear();
+}
+
+void ServiceDispatcher::cancel(CallId id, Millis now, Actions &actions)
+{
+    const auto found = m_calls.find(id);
+    if (found == m_calls.end()) {
+        return;
+    }
+    cancelOthers(found->second, std::nullopt, now, actions);
+    m_calls.erase(found);
+}
+
+bool ServiceDispatcher::expire(Open &call, Millis now, Actions &actions)
+{
+    if (call.active.empty()) {
+        return giveUp(call, now, actions);
+    }
+    // An upstream stops at the deadline by itself; its last word is waited for a little longer.
+    if (now < call.spec.deadline + answerGrace) {
+        return false;
+    }
+    for (const auto &it : call.active) {
+        ++m_slots[it.upstream].bad;
+        m_slots[it.upstream].view.noteOthers(0, 1, now);
+    }
+    call.mayHaveRun = true;
+    cancelOthers(call, std::nullopt, now, actions);
+    return giveUp(call, now, actions);
+}
+
+void ServiceDispatcher::tick(Millis now, Actions &actions)
+{
+    std::vector<CallId> over;
+    for (auto &[id, it] : m_calls) {
+        if (now >= it.spec.deadline) {
+            if (expire(it, now, actions)) {
+                over.push_back(id);
+            }
+        } else if (it.search == Search::None && now >= it.hedgeAt) {
+            it.hedgeAt = it.spec.deadline;
+            if (it.runs < it.spec.maxAttempts && m_budget.allows(now, m_options.hedgeReserve)) {
+                startSearch(it, Search::Hedge, now, actions);
+            }
+        }
+    }
+    for (const auto it : over) {
+        m_calls.erase(it);
+    }
+    advanceWaiting(now, actions);
+}
+
+Millis ServiceDispatcher::dueOf(const Open &call) const
+{
+    const auto last = call.active.empty() ? call.spec.deadline : call.spec.deadline + answerGrace;
+    switch (call.search) {
+    case Search::None:
+        return call.hedgeAt < call.spec.deadline ? call.hedgeAt : last;
+    case Search::First:
+    case Search::Retry:
+    case Search::Hedge:
+        return std::min(last, call.rounds < maxRounds ? call.roundEnds : call.roundEnds + m_options.askAgain);
+    }
+    return last;
+}
+
+std::optional<Millis> ServiceDispatcher::nextDue() const
+{
+    std::optional<Millis> due;
+    for (const auto &[id, it] : m_calls) {
+        const auto at = dueOf(it);
+        due = due ? std::min(*due, at) : at;
+    }
+    return due;
+}
+
+void ServiceDispatcher::noteLatency(const Attempt &attempt, Millis now)
+{
+    const auto usual = (now - attempt.sentAt) * (1 / std::max(1.0, attempt.slowness));
+    m_typical = m_measured ? m_typical * (1 - typicalWeight) + usual * typicalWeight : usual;
+    m_measured = true;
+}
+
+}
--- /dev/null
+++ b/src/core/placement/servicedispatcher.h
@@ -0,0 +1,219 @@
+#ifndef LABURNUMMAST_CORE_PLACEMENT_SERVICEDISPATCHER_H
+#define LABURNUMMAST_CORE_PLACEMENT_SERVICEDISPATCHER_H
+
+#include "core/dispatch/call.h"
+#include "core/millis.h"
+#include "core/placement/loadreport.h"
+#include "core/placement/placementoptions.h"
+#include "core/placement/upstreamview.h"
+#include "core/retry/sharedretrybudget.h"
+#include "core/retry/tokenbucket.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Laburnummast::Placement
+{
+
+using Dispatch::Actions;
+using Dispatch::AttemptNumber;
+using Dispatch::AttemptOutcome;
+using Dispatch::CallId;
+using Dispatch::UpstreamId;
+
+/// A call as the dispatcher needs to know it.
+struct CallSpec
+{
+    CallId id = 0;
+    bool idempotent = false;
+    /// Its body is long: bytes between failure domains matter.
+    bool bulk = false;
+    /// 0 is the most urgent.
+    int rank = 0;
+    int maxAttempts = 1;
+    /// An answer before this moment is worth the most.
+    Millis objective;
+    /// From this moment on nobody waits for the answer.
+    Millis deadline;
+    /// The caller was refused before and does not come back once more.
+    bool returning = false;
+};
+
+/// Counts since the start; each only grows.
+struct PlacementCounters
+{
+    std::uint64_t calls = 0;
+    std::uint64_t sent = 0;
+    std::uint64_t retries = 0;
+    std::uint64_t hedges = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t probes = 0;
+    std::uint64_t heldBack = 0;
+};
+
+/// Outcomes on one upstream since they were last taken, for the other daemons.
+struct OutcomeCount
+{
+    std::string upstream;
+    std::uint32_t good = 0;
+    std::uint32_t bad = 0;
+};
+
+/// Chooses upstreams for the calls of one service on one daemon.
+///
+/// Speed and load of upstreams change within milliseconds, so a few are asked for theirs at the moment of choice.
+/// A call that no asked upstream can serve in time waits here, urgent ones first, and is refused once waiting is useless.
+/// Without I/O and clock: inputs carry the time, outputs are actions that the driver carries out.
+class ServiceDispatcher
+{
+public:
+    ServiceDispatcher(const PlacementOptions &options, std::uint64_t seed);
+    ServiceDispatcher(const ServiceDispatcher &) = delete;
+    ServiceDispatcher &operator=(const ServiceDispatcher &) = delete;
+
+    void configure(const PlacementOptions &options);
+    void setUpstreams(std::span<const UpstreamSpec> specs);
+
+    void submit(const CallSpec &call, Millis now, Actions &actions);
+    void probeEnded(UpstreamId upstream, const ProbeResult &result, Millis now, Actions &actions);
+    void attemptEnded(CallId call, AttemptNumber attempt, AttemptOutcome outcome, const std::optional<LoadReport> &load, Millis now, Actions &actions);
+    /// Nobody waits for the call any more.
+    void cancel(CallId call, Millis now, Actions &actions);
+    void noteOthers(std::span<const OutcomeCount> outcomes, Millis now);
+    /// Carries out what is due.
+    void tick(Millis now, Actions &actions);
+    /// When `tick` is due next; nothing if no call is open.
+    std::optional<Millis> nextDue() const;
+
+    /// Views by upstream id; an id stays valid while calls or probes are on their way there.
+    const UpstreamView *view(UpstreamId upstream) const;
+    std::optional<UpstreamId> idOf(std::string_view name) const;
+    std::vector<OutcomeCount> takeOutcomes();
+    const PlacementCounters &counters() const
+    {
+        return m_counters;
+    }
+    std::size_t open() const
+    {
+        return m_calls.size();
+    }
+    std::size_t waiting() const;
+    std::size_t upstreams() const
+    {
+        return m_present;
+    }
+    Millis typical() const
+    {
+        return m_typical;
+    }
+    double retriesLeft(Millis now) const
+    {
+        return m_budget.allowed(now) - m_budget.spent(now);
+    }
+
+private:
+    struct Slot
+    {
+        UpstreamView view;
+        bool present = true;
+        bool probing = false;
+        Millis probedAt{-1};
+        std::uint32_t good = 0;
+        std::uint32_t bad = 0;
+    };
+
+    struct Attempt
+    {
+        AttemptNumber number = 0;
+        UpstreamId upstream = 0;
+        Millis sentAt;
+        /// Expected slowness when it was sent.
+        double slowness = 1;
+    };
+
+    /// Why a call looks for an upstream.
+    enum class Search : std::uint8_t {
+        None,
+        First,
+        Retry,
+        Hedge,
+    };
+
+    struct Open
+    {
+        CallSpec spec;
+        Millis arrived;
+        Search search = Search::First;
+        Millis searchSince;
+        int rounds = 0;
+        Millis roundEnds;
+        std::vector<UpstreamId> asked;
+        std::vector<UpstreamId> tried;
+        std::vector<Attempt> active;
+        AttemptNumber nextAttempt = 0;
+        int runs = 0;
+        /// A failure that an upstream answered; relayed if nothing better comes.
+        std::optional<AttemptNumber> failure;
+        Millis hedgeAt;
+        bool mayHaveRun = false;
+        /// No probe could be spent on it.
+        bool blind = false;
+    };
+
+    struct Choice
+    {
+        UpstreamId upstream = 0;
+        Millis expected;
+    };
+
+    void addSlot(const UpstreamSpec &spec);
+    void freeAbsentSlots();
+    void startSearch(Open &call, Search search, Millis now, Actions &actions);
+    void askSome(Open &call, std::size_t count, Millis now, Actions &actions);
+    bool roundOver(const Open &call, Millis now) const;
+    /// Sends, asks again, waits or gives up. Returns whether the call is over.
+    bool advance(Open &call, Millis now, Actions &actions);
+    std::optional<Choice> best(const Open &call, Millis now) const;
+    bool isGood(const Open &call, const Choice &choice, Millis now) const;
+    bool isAcceptable(const Open &call, const Choice &choice, Millis now) const;
+    void send(Open &call, const Choice &choice, Millis now, Actions &actions);
+    bool giveUp(Open &call, Millis now, Actions &actions);
+    bool mayTryAgain(const Open &call, AttemptOutcome outcome, Millis now) const;
+    bool endAttempt(Open &call, AttemptNumber attempt, AttemptOutcome outcome, Millis now, Actions &actions);
+    void finish(Open &call, AttemptNumber attempt, Dispatch::Disposition disposition, Actions &actions);
+    void cancelOthers(Open &call, std::optional<AttemptNumber> except, Millis now, Actions &actions);
+    bool expire(Open &call, Millis now, Actions &actions);
+    Millis holdLimit(const Open &call) const;
+    Millis retryAfter(const Open &call, Millis now);
+    Millis hedgeTime(const Open &call, Millis now) const;
+    Millis dueOf(const Open &call) const;
+    void advanceWaiting(Millis now, Actions &actions);
+    void noteLatency(const Attempt &attempt, Millis now);
+    bool candidate(const Slot &slot, Millis now) const;
+
+    PlacementOptions m_options;
+    std::mt19937_64 m_random;
+    std::vector<Slot> m_slots;
+    std::map<std::string, UpstreamId, std::less<>> m_ids;
+    std::vector<UpstreamId> m_free;
+    std::map<CallId, Open> m_calls;
+    Retry::SharedRetryBudget m_budget;
+    Retry::TokenBucket m_probeTokens;
+    std::size_t m_present = 0;
+    /// Usual time of a call on an upstream at its usual speed.
+    Millis m_typical;
+    bool m_measured = false;
+    int m_silentOnLoad = 0;
+    bool m_tellsLoad = true;
+    PlacementCounters m_counters;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/src/core/routes/routetable.h
@@ -0,0 +1,56 @@
+#ifndef LABURNUMMAST_CORE_ROUTES_ROUTETABLE_H
+#define LABURNUMMAST_CORE_ROUTES_ROUTETABLE_H
+
+#include "core/routes/route.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Laburnummast::Routes
+{
+
+/// All routes and services of one version; never changes once built.
+class RouteTable
+{
+public:
+    RouteTable() = default;
+    RouteTable(std::uint64_t version, std::vector<Route> routes, std::vector<ServiceSpec> services, const CallerLimits &limits);
+
+    std::uint64_t version() const
+    {
+        return m_version;
+    }
+    const CallerLimits &limits() const
+    {
+        return m_limits;
+    }
+    /// The route of that host with the longest prefix of `path`; null if none matches.
+    const Route *match(std::string_view host, std::string_view path) const;
+    const ServiceSpec *service(std::string_view name) const;
+    const std::map<std::string, ServiceSpec, std::less<>> &services() const
+    {
+        return m_services;
+    }
+    std::size_t routes() const
+    {
+        return m_routes.size();
+    }
+
+private:
+    std::uint64_t m_version = 0;
+    CallerLimits m_limits;
+    std::vector<Route> m_routes;
+    std::map<std::string, ServiceSpec, std::less<>> m_services;
+    /// Indices of routes by host, then by prefix.
+    std::map<std::string, std::map<std::string, std::size_t, std::less<>>, std::less<>> m_byHost;
+};
+
+/// The part of a split that a call belongs to: the same for the same id, in proportion to the weights.
+const RoutePart &partOf(const Route &route, std::string_view callId);
+
+}
+
+#endif
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -79,6 +79,7 @@
     Daemon daemon(loaded.settings, loaded.keys);
     if (const auto failure = daemon.start()) {
         Process::logError("address-not-had", {{"address", Config::toString(*failure)}});
+        Process::stopLog();
         return exitNoAddress;
     }
     while (!daemon.drainRequested()) {
@@ -96,6 +97,7 @@
     const bool whole = daemon.drain();
     daemon.stop();
     Process::logInfo("stopped");
+    Process::stopLog();
     return whole ? exitOk : exitCut;
 }
 
--- /dev/null
+++ b/src/entry/main.cpp
@@ -0,0 +1,104 @@
+// laburnummast-entry: the daemon on the platform's hosts.
+
+#include "core/config/address.h"
+#include "core/text.h"
+#include "entry/node.h"
+#include "platform/settings.h"
+#include "process/files.h"
+#include "process/log.h"
+#include "process/signals.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <csignal>
+#include <iostream>
+#include <optional>
+
+ABSL_FLAG(std::string, settings, "", "settings file; by default the one that the environment names");
+ABSL_FLAG(bool, check, false, "check the settings file and end");
+
+namespace Laburnummast::Entry
+{
+namespace
+{
+
+constexpr int exitOk = 0;
+constexpr int exitCut = 1;
+constexpr int exitBadSettings = 2;
+constexpr int exitNoAddress = 3;
+constexpr Millis signalStep{500};
+
+std::optional<NodeSettings> load(const std::string &path)
+{
+    const auto text = Process::readFile(path);
+    if (const auto *failure = std::get_if<Process::FileError>(&text)) {
+        std::cerr << "laburnummast-entry: " << Process::describe(*failure) << "\n";
+        return std::nullopt;
+    }
+    auto settings = Platform::parseSettings(std::get<std::string>(text));
+    if (const auto *problems = std::get_if<std::vector<Platform::SettingProblem>>(&settings)) {
+        for (const auto &it : *problems) {
+            std::cerr << "laburnummast-entry: " << path << ": " << it.field << (it.value.empty() ? " is missing" : " cannot be read: " + it.value)
+                      << "\n";
+        }
+        return std::nullopt;
+    }
+    return std::get<NodeSettings>(settings);
+}
+
+int run(const NodeSettings &settings, const std::string &path)
+{
+    Process::blockSignals();
+    Process::startLog(settings.host);
+    Node node(settings);
+    if (const auto failure = node.start()) {
+        Process::logError("address-not-had", {{"address", Config::toString(*failure)}});
+        Process::stopLog();
+        return exitNoAddress;
+    }
+    Process::logInfo("started", {{"front", Config::toString(settings.front)}, {"domain", settings.domain}});
+    while (true) {
+        const auto signal = Process::waitForSignal(signalStep);
+        if (!signal) {
+            continue;
+        }
+        if (*signal != SIGHUP) {
+            break;
+        }
+        if (const auto fresh = load(path)) {
+            node.reload(*fresh);
+            Process::logInfo("reloaded", {{"settings", path}});
+        } else {
+            Process::logError("settings-not-reloaded", {{"settings", path}});
+        }
+    }
+    Process::logInfo("draining");
+    const bool whole = node.drain();
+    node.stop();
+    Process::logInfo("stopped", {{"cut", whole ? "no" : "yes"}});
+    Process::stopLog();
+    return whole ? exitOk : exitCut;
+}
+
+}
+}
+
+int main(int argc, char **argv)
+{
+    absl::SetProgramUsageMessage("laburnummast-entry [--settings=FILE]: serves callers on one entry host of the platform");
+    absl::ParseCommandLine(argc, argv);
+    auto path = absl::GetFlag(FLAGS_settings);
+    if (path.empty()) {
+        path = Laburnummast::Platform::settingsPath();
+    }
+    const auto settings = Laburnummast::Entry::load(path);
+    if (!settings) {
+        return Laburnummast::Entry::exitBadSettings;
+    }
+    if (absl::GetFlag(FLAGS_check)) {
+        std::cout << path << ": ok\n";
+        return Laburnummast::Entry::exitOk;
+    }
+    return Laburnummast::Entry::run(*settings, path);
+}
--- /dev/null
+++ b/src/entry/peerlink.h
@@ -0,0 +1,128 @@
+#ifndef LABURNUMMAST_ENTRY_PEERLINK_H
+#define LABURNUMMAST_ENTRY_PEERLINK_H
+
+#include "core/feed/keyedfeed.h"
+#include "core/membership/membership.h"
+#include "entry/nodesettings.h"
+#include "entry/peerreport.h"
+#include "http/clientpool.h"
+#include "http/listener.h"
+
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace Laburnummast::Entry
+{
+
+/// Ports of the daemons among themselves, counted from the first internal one.
+enum class InternalPort : std::uint16_t {
+    /// Membership over UDP; records over TCP.
+    Members = 0,
+    /// Reports over UDP.
+    Reports = 1,
+    /// Metrics and the state dump.
+    Admin = 2,
+};
+
+Address internalAddress(const NodeSettings &settings, InternalPort port);
+
+/// What arrives from other daemons.
+struct PeerEvents
+{
+    std::function<void(const Membership::MemberChanged &)> onMember;
+    std::function<void(const PeerReport &)> onReport;
+    /// Records that another daemon asks for.
+    std::function<Feed::FeedDelta(Topic, std::int64_t from)> recordsSince;
+    std::function<void(Topic, const Feed::FeedDelta &)> onRecords;
+};
+
+struct PeerCounters
+{
+    std::uint64_t datagramsIn = 0;
+    std::uint64_t datagramsOut = 0;
+    std::uint64_t unreadable = 0;
+    std::uint64_t fetches = 0;
+    std::uint64_t failedFetches = 0;
+};
+
+/// Membership, reports and records between the daemons; runs on the control thread.
+class PeerLink
+{
+public:
+    PeerLink(boost::asio::io_context &loop, const NodeSettings &settings, PeerEvents events);
+    ~PeerLink();
+    PeerLink(const PeerLink &) = delete;
+    PeerLink &operator=(const PeerLink &) = delete;
+
+    /// Returns the address that could not be had, if any.
+    std::optional<Address> start();
+    /// Sends a report to every peer, or to some of many.
+    void report(const PeerReport &report, bool toAll);
+    /// Asks a peer for records; one request a topic at a time.
+    void fetch(Topic topic, std::int64_t from, const Address &peer);
+    /// What the members learn of this daemon: -1 until it serves.
+    void announce(std::int64_t version);
+    void leave();
+    void stop();
+
+    const Membership::Membership &members() const
+    {
+        return m_membership;
+    }
+    const PeerCounters &counters() const
+    {
+        return m_counters;
+    }
+
+private:
+    using Udp = boost::asio::ip::udp;
+
+    struct Receiver
+    {
+        explicit Receiver(boost::asio::io_context &loop)
+            : socket(loop)
+        {
+        }
+
+        Udp::socket socket;
+        std::array<char, 2048> buf{};
+        Udp::endpoint from;
+    };
+
+    void tick();
+    void run(const Membership::MembershipActions &actions);
+    void receive(Receiver &receiver, void (PeerLink::*handle)(std::string_view, const Udp::endpoint &));
+    void memberDatagram(std::string_view bytes, const Udp::endpoint &from);
+    void reportDatagram(std::string_view bytes, const Udp::endpoint &from);
+    void send(Udp::socket &socket, std::string_view bytes, const Address &to);
+    void serveRecords(const Http::Request &request, const Http::Responder &responder);
+    Http::ClientPool &poolOf(const Address &peer);
+    std::optional<Address> bind(Receiver &receiver, const Address &address);
+
+    boost::asio::io_context &m_loop;
+    const NodeSettings m_settings;
+    PeerEvents m_events;
+    Membership::Membership m_membership;
+    Receiver m_memberPort;
+    Receiver m_reportPort;
+    Http::Listener m_records;
+    std::map<Address, std::unique_ptr<Http::ClientPool>> m_pools;
+    std::array<bool, topicCount> m_fetching{};
+    boost::asio::steady_timer m_timer;
+    std::mt19937_64 m_random;
+    bool m_stopped = false;
+    PeerCounters m_counters;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/src/entry/peerreport.h
@@ -0,0 +1,82 @@
+#ifndef LABURNUMMAST_ENTRY_PEERREPORT_H
+#define LABURNUMMAST_ENTRY_PEERREPORT_H
+
+#include "core/millis.h"
+#include "core/result.h"
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Laburnummast::Entry
+{
+
+/// The topics of the store that daemons follow together.
+enum class Topic : std::uint8_t {
+    Routes,
+    Upstreams,
+};
+
+constexpr std::size_t topicCount = 2;
+
+/// How far a daemon has followed a topic.
+struct FeedPosition
+{
+    std::int64_t end = 0;
+    bool known = false;
+    /// It reads the store itself.
+    bool reading = false;
+    /// How long ago it last heard of the store itself.
+    Millis contactAge;
+
+    template <class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(end, known, reading, contactAge);
+    }
+};
+
+/// How calls fared on one upstream.
+struct UpstreamOutcome
+{
+    std::string service;
+    std::string upstream;
+    std::uint32_t good = 0;
+    std::uint32_t bad = 0;
+
+    template <class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(service, upstream, good, bad);
+    }
+};
+
+/// What a daemon tells its peers several times a second.
+struct PeerReport
+{
+    std::string host;
+    /// TCP port on which it hands out records.
+    std::string ip;
+    std::uint16_t feedPort = 0;
+    std::array<FeedPosition, topicCount> feeds{};
+    std::vector<UpstreamOutcome> outcomes;
+};
+
+enum class PeerReportError : std::uint8_t {
+    TooLong,
+    Malformed,
+    FutureFormat,
+};
+
+/// Largest report that is sent or read, in bytes: it travels in one datagram.
+constexpr std::size_t maxReportBytes = 1400;
+
+/// Bytes of a report; outcomes that do not fit are left out.
+std::string encodeReport(PeerReport report);
+Result<PeerReport, PeerReportError> decodeReport(std::string_view bytes);
+
+}
+
+#endif
--- /dev/null
+++ b/src/entry/traffic.cpp
@@ -0,0 +1,676 @@
+#include "entry/traffic.h"
+
+#include "core/text.h"
+#include "platform/directory.h"
+#include "platform/requests.h"
+#include "process/wallclock.h"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <chrono>
+#include <xxhash.h>
+
+namespace Laburnummast::Entry
+{
+namespace
+{
+
+using Dispatch::AttemptOutcome;
+using Process::steadyNow;
+
+// Callers keep an entry list this long: short enough that a host which died is soon left out, some callers keep it thrice as long.
+constexpr Millis entryListAge = 1500_ms;
+constexpr Millis housekeepingEvery = 250_ms;
+// A connection to an upstream that nothing uses for this long is not worth a descriptor.
+constexpr Millis keepUpstreamIdle = 30_s;
+// A probe is given up after this; its answer would be worthless long before.
+constexpr Millis probeTimeout = 150_ms;
+// Beyond the deadline the upstream's own last word is still read for this long.
+constexpr Millis answerGrace = 60_ms;
+// Way of a request and its answer between a caller and this host.
+constexpr Millis callerWay = 8_ms;
+constexpr Millis notReadyRetryAfter = 200_ms;
+// Part of the upstreams' probe allowance that is spent: daemons come and go while it is shared out.
+constexpr double probeShare = 0.8;
+constexpr std::uint64_t directoryBodyBytes = 65536;
+
+std::chrono::microseconds toTimer(Millis span)
+{
+    return std::chrono::microseconds(static_cast<std::int64_t>(std::max(0.0, span.count) * 1000));
+}
+
+std::string millisText(Millis span)
+{
+    return Text::concat(static_cast<std::int64_t>(span.count));
+}
+
+std::string describe(const Placement::UpstreamView &view, Millis now)
+{
+    if (!view.report()) {
+        return Text::concat("none/own=", view.inFlight());
+    }
+    const auto &load = *view.report();
+    return Text::concat(load.running,
+                        "+",
+                        load.waiting,
+                        "/",
+                        load.slots,
+                        "x",
+                        static_cast<int>(load.slowness * 100),
+                        "@",
+                        static_cast<std::int64_t>((now - view.reportedAt()).count),
+                        "ms");
+}
+
+AttemptOutcome outcomeOf(Http::ClientError error)
+{
+    switch (error) {
+    case Http::ClientError::CannotConnect:
+        return AttemptOutcome::NotSent;
+    case Http::ClientError::TimedOut:
+        return AttemptOutcome::TimedOut;
+    case Http::ClientError::Cancelled:
+        return AttemptOutcome::Cancelled;
+    case Http::ClientError::ConnectionLost:
+    case Http::ClientError::Malformed:
+        return AttemptOutcome::Broken;
+    }
+    return AttemptOutcome::Broken;
+}
+
+AttemptOutcome outcomeOf(AnswerKind kind)
+{
+    switch (kind) {
+    case AnswerKind::Success:
+        return AttemptOutcome::Answered;
+    case AnswerKind::Failure:
+        return AttemptOutcome::Failed;
+    case AnswerKind::NotRun:
+        return AttemptOutcome::Shed;
+    case AnswerKind::WrongUpstream:
+        return AttemptOutcome::NotSent;
+    case AnswerKind::Unusable:
+        return AttemptOutcome::Broken;
+    }
+    return AttemptOutcome::Broken;
+}
+
+}
+
+std::string_view nameOf(CallError error)
+{
+    switch (error) {
+    case CallError::NoHost:
+        return "no-host";
+    case CallError::NoId:
+        return "no-id";
+    case CallError::BadPatience:
+        return "bad-deadline";
+    }
+    return "unknown";
+}
+
+std::string_view nameOf(CallEnd end)
+{
+    constexpr std::array<std::string_view, callEndCount> names{
+        "answered", "failed", "not-run", "unknown", "late", "no-route", "not-ready", "bad-request", "caller-left"};
+    return names[static_cast<std::size_t>(end)];
+}
+
+Traffic::Traffic(boost::asio::io_context &loop, const NodeSettings &settings, OnOutcomes onOutcomes)
+    : m_loop(loop)
+    , m_settings(settings)
+    , m_onOutcomes(std::move(onOutcomes))
+    , m_view(std::make_shared<NodeView>())
+    , m_front(loop,
+              {.onRequest = [this](Http::Request request, const Http::Responder &responder,
+                                   std::uint64_t id) { accept(std::move(request), responder, id); },
+               .onLeft = [this](std::uint64_t id) { callerLeft(id); }})
+    , m_readiness(loop,
+                  {.onRequest = [this](const Http::Request &request, const Http::Responder &responder, std::uint64_t) { readiness(request, responder); },
+                   .onLeft = [](std::uint64_t) {}})
+    , m_directory(loop,
+                  {.onRequest = [this](const Http::Request &request, const Http::Responder &responder, std::uint64_t) { directory(request, responder); },
+                   .onLeft = [](std::uint64_t) {}})
+    , m_housekeeping(loop)
+    , m_random(XXH3_64bits(settings.host.data(), settings.host.size()))
+{
+}
+
+Traffic::~Traffic() = default;
+
+std::optional<Address> Traffic::start()
+{
+    const std::array<std::pair<Http::Listener *, Address>, 3> listeners{
+        {{&m_front, m_settings.front}, {&m_readiness, m_settings.readiness}, {&m_directory, m_settings.directory}}};
+    for (const auto &[listener, address] : listeners) {
+        if (address.ip.empty()) {
+            continue;
+        }
+        boost::system::error_code ec;
+        const auto ip = boost::asio::ip::make_address(address.ip, ec);
+        if (ec || listener->start({ip, address.port})) {
+            return address;
+        }
+    }
+    const Http::ServerLimits small{.bodyBytes = directoryBodyBytes};
+    m_readiness.setLimits(small);
+    m_directory.setLimits(small);
+    housekeeping();
+    return std::nullopt;
+}
+
+void Traffic::setView(std::shared_ptr<const NodeView> view)
+{
+    m_view = std::move(view);
+    m_addresses.clear();
+    std::map<std::string, std::vector<Placement::UpstreamSpec>, std::less<>> byService;
+    for (const auto &it : m_view->upstreams) {
+        m_addresses[it.record.id] = it.record.address;
+        byService[it.record.service].push_back({.id = it.record.id,
+                                                .domain = it.record.domain,
+                                                .slots = it.record.slots,
+                                                .coldUntil = it.coldUntil,
+                                                .startedAt = it.record.startedAt});
+    }
+    if (m_view->routes) {
+        for (const auto &[name, spec] : m_view->routes->services()) {
+            serviceOf(name).healthPath = spec.healthPath;
+            byService.try_emplace(name);
+        }
+        const auto &limits = m_view->routes->limits();
+        m_front.setLimits({.headerBytes = limits.headerBytes,
+                           .bodyBytes = limits.bodyBytes,
+                           .headerTimeout = limits.headerTimeout,
+                           .idleTimeout = limits.idleTimeout});
+    }
+    for (auto &[name, service] : m_services) {
+        const auto specs = byService.find(name);
+        service->dispatcher.setUpstreams(specs == byService.end() ? std::vector<Placement::UpstreamSpec>() : specs->second);
+        service->dispatcher.configure(optionsOf(service->dispatcher.upstreams()));
+    }
+}
+
+void Traffic::setBounds(const NodeBounds &bounds)
+{
+    m_settings.bounds = bounds;
+    for (auto &[name, service] : m_services) {
+        service->dispatcher.configure(optionsOf(service->dispatcher.upstreams()));
+    }
+}
+
+Placement::PlacementOptions Traffic::optionsOf(std::size_t upstreams) const
+{
+    const auto daemons = std::max<std::size_t>(1, m_view->daemons);
+    const auto &bounds = m_settings.bounds;
+    return {.domain = m_settings.domain,
+            .retries = {.ratio = bounds.retryRatio, .slack = bounds.retrySlack, .window = bounds.retryWindow, .daemons = daemons},
+            .probesPerSecond = probeShare * bounds.probesPerSecond * static_cast<double>(std::max<std::size_t>(1, upstreams))
+                / static_cast<double>(daemons)};
+}
+
+Traffic::Service &Traffic::serviceOf(const std::string &name)
+{
+    auto &service = m_services[name];
+    if (!service) {
+        service = std::make_unique<Service>(m_loop, optionsOf(1), m_random());
+        service->name = name;
+    }
+    return *service;
+}
+
+Traffic::Upstream &Traffic::upstreamOf(std::string_view id, const Membership::Address &address)
+{
+    auto it = m_upstreams.find(id);
+    if (it == m_upstreams.end()) {
+        boost::system::error_code ec;
+        const boost::asio::ip::tcp::endpoint endpoint(boost::asio::ip::make_address(address.ip, ec), address.port);
+        it = m_upstreams.emplace(std::string(id), Upstream{.id = std::string(id), .pool = std::make_unique<Http::ClientPool>(m_loop, endpoint)}).first;
+    }
+    return it->second;
+}
+
+std::optional<Membership::Address> Traffic::addressOf(std::string_view upstream) const
+{
+    const auto it = m_addresses.find(std::string(upstream));
+    return it == m_addresses.end() ? std::nullopt : std::optional(it->second);
+}
+
+void Traffic::accept(Http::Request request, const Http::Responder &responder, std::uint64_t id)
+{
+    const auto now = steadyNow();
+    auto decoded = Platform::decodeCall(std::move(request));
+    if (const auto *error = std::get_if<CallError>(&decoded)) {
+        ++m_ended[static_cast<std::size_t>(CallEnd::BadRequest)];
+        m_log.line("call-rejected", now, {{"reason", std::string(nameOf(*error))}});
+        responder.send(Platform::ownResponse({}, 400));
+        return;
+    }
+    auto &call = std::get<IncomingCall>(decoded);
+    if (!m_view->routes || !m_view->upstreamsKnown) {
+        ++m_ended[static_cast<std::size_t>(CallEnd::NotReady)];
+        m_log.line("call-rejected", now, {{"id", call.id}, {"reason", m_view->routes ? "no-upstream-list" : "no-routes"}});
+        responder.send(Platform::notRunResponse(call.id, notReadyRetryAfter));
+        return;
+    }
+    const auto *route = m_view->routes->match(call.host, Http::pathOf(call.target));
+    if (!route) {
+        ++m_ended[static_cast<std::size_t>(CallEnd::NoRoute)];
+        m_log.line("call-rejected",
+                   now,
+                   {{"id", call.id}, {"reason", "no-route"}, {"host", call.host}, {"version", Text::concat(m_view->routes->version())}});
+        responder.send(Platform::ownResponse(call.id, 404));
+        return;
+    }
+    const auto patience = call.patience.value_or(route->timeout);
+    const auto spent = m_returns.spentBefore(Text::concat(route->name, "@", m_view->routes->version()), patience);
+    LiveCall live{.spec = {.id = id,
+                           .idempotent = route->idempotent,
+                           .bulk = route->bulk,
+                           .rank = route->rank,
+                           .maxAttempts = route->maxAttempts,
+                           .objective = now + route->objective - spent - callerWay,
+                           .deadline = now + std::min(patience, route->timeout),
+                           .returning = spent > 0_ms},
+                  .service = &serviceOf(Routes::partOf(*route, call.id).service),
+                  .route = route->name,
+                  .version = m_view->routes->version(),
+                  .responder = responder,
+                  .arrived = now};
+    live.call = std::move(call);
+    auto &service = *live.service;
+    const auto spec = live.spec;
+    m_calls.emplace(id, std::move(live));
+    Dispatch::Actions actions;
+    service.dispatcher.submit(spec, now, actions);
+    run(service, actions);
+}
+
+void Traffic::run(Service &service, const Dispatch::Actions &actions)
+{
+    for (const auto &action : actions) {
+        std::visit(Overloaded{[&](const Dispatch::SendAttempt &it) { send(service, it); },
+                              [&](const Dispatch::ProbeUpstream &it) { probe(service, it); },
+                              [&](const Dispatch::RefuseCall &it) { refuse(it); },
+                              [&](const Dispatch::FinishCall &it) { finish(it); },
+                              [&](const Dispatch::CancelAttempt &it) { cancelAttempt(it); }},
+                   action);
+    }
+    arm(service);
+}
+
+void Traffic::arm(Service &service)
+{
+    const auto due = service.dispatcher.nextDue();
+    if (due == service.armedFor) {
+        return;
+    }
+    service.armedFor = due;
+    if (!due) {
+        service.timer.cancel();
+        return;
+    }
+    service.timer.expires_after(toTimer(*due - steadyNow()));
+    service.timer.async_wait([this, &service](const auto &ec) {
+        if (ec) {
+            return;
+        }
+        service.armedFor.reset();
+        Dispatch::Actions actions;
+        service.dispatcher.tick(steadyNow(), actions);
+        run(service, actions);
+    });
+}
+
+void Traffic::probe(Service &service, const Dispatch::ProbeUpstream &action)
+{
+    const auto now = steadyNow();
+    const auto id = service.dispatcher.view(action.upstream)->spec().id;
+    const auto address = addressOf(id);
+    const auto ended = [this, &service, upstream = action.upstream](const Placement::ProbeResult &result) {
+        Dispatch::Actions actions;
+        service.dispatcher.probeEnded(upstream, result, steadyNow(), actions);
+        run(service, actions);
+    };
+    if (!address) {
+        boost::asio::post(m_loop, [ended] { ended({}); });
+        return;
+    }
+    auto &upstream = upstreamOf(id, *address);
+    const auto connection = upstream.pool->take(now);
+    connection->start({.bytes = Http::encode(Platform::probeRequest(service.healthPath, address->ip)),
+                       .timeout = probeTimeout,
+                       .isOurs = Platform::answersProbe,
+                       .onResult = [this, id, connection, ended](const Http::ClientResult &result) {
+                           const auto known = m_upstreams.find(id);
+                           const auto *response = std::get_if<Http::Response>(&result);
+                           if (!response) {
+                               if (known != m_upstreams.end()) {
+                                   known->second.pool->dropIdle();
+                               }
+                               ended({});
+                               return;
+                           }
+                           if (known != m_upstreams.end()) {
+                               known->second.pool->giveBack(connection);
+                           }
+                           ended(Platform::decodeProbe(*response, id));
+                       }});
+}
+
+void Traffic::send(Service &service, const Dispatch::SendAttempt &action)
+{
+    const auto now = steadyNow();
+    const auto found = m_calls.find(action.call);
+    if (found == m_calls.end()) {
+        return;
+    }
+    auto &live = found->second;
+    const auto *view = service.dispatcher.view(action.upstream);
+    const auto id = view->spec().id;
+    const auto address = addressOf(id);
+    auto &attempt = live.attempts[action.attempt];
+    attempt.upstream = id;
+    attempt.sentAt = now;
+    attempt.known = describe(*view, now);
+    live.lastUpstream = id;
+    live.lastKnown = attempt.known;
+    ++live.sent;
+    if (!address) {
+        boost::asio::post(m_loop, [this, &service, call = action.call, number = action.attempt, id] {
+            attemptEnded(service, call, number, id, Http::ClientError::CannotConnect);
+        });
+        return;
+    }
+    attempt.connection = upstreamOf(id, *address).pool->take(now);
+    const auto onResult
+        = [this, &service, call = action.call, number = action.attempt, id, connection = attempt.connection](Http::ClientResult result) {
+              if (const auto known = m_upstreams.find(id); known != m_upstreams.end()) {
+                  known->second.pool->giveBack(connection);
+              }
+              attemptEnded(service, call, number, id, std::move(result));
+          };
+    const auto left = live.spec.deadline - now;
+    attempt.connection->start({.bytes = Http::encode(Platform::encodeAttempt(live.call, id, left)),
+                               .timeout = left + answerGrace,
+                               .headRequest = live.call.method == "HEAD",
+                               .isOurs = [callId = live.call.id](const Http::Response &it) { return Platform::answersCall(it, callId); },
+                               .onResult = onResult});
+}
+
+void Traffic::attemptEnded(
+    Service &service, Dispatch::CallId id, Dispatch::AttemptNumber number, const std::string &upstream, Http::ClientResult result)
+{
+    const auto known = m_upstreams.find(upstream);
+    const auto found = m_calls.find(id);
+    auto *response = std::get_if<Http::Response>(&result);
+    if (found == m_calls.end() || !found->second.attempts.contains(number)) {
+        return;
+    }
+    auto &live = found->second;
+    const auto attempt = live.attempts[number];
+    live.attempts.erase(number);
+    auto outcome = AttemptOutcome::Broken;
+    std::optional<Placement::LoadReport> load;
+    if (response) {
+        auto answer = Platform::decodeAnswer(std::move(*response));
+        outcome = outcomeOf(answer.kind);
+        load = answer.load;
+        live.lastError = outcome == AttemptOutcome::Answered ? std::string() : Text::concat("status-", answer.response.status);
+        live.answers[number] = std::move(answer.response);
+    } else {
+        const auto error = std::get<Http::ClientError>(result);
+        outcome = outcomeOf(error);
+        live.lastError = Http::nameOf(error);
+        if (known != m_upstreams.end() && error != Http::ClientError::CannotConnect) {
+            known->second.pool->dropIdle();
+        }
+    }
+    if (outcome != AttemptOutcome::Answered) {
+        m_log.line("attempt-failed",
+                   steadyNow(),
+                   {{"id", live.call.id},
+                    {"upstream", upstream},
+                    {"error", live.lastError},
+                    {"load", attempt.known},
+                    {"after-ms", millisText(steadyNow() - attempt.sentAt)}});
+    }
+    Dispatch::Actions actions;
+    service.dispatcher.attemptEnded(id, number, outcome, load, steadyNow(), actions);
+    run(service, actions);
+}
+
+void Traffic::refuse(const Dispatch::RefuseCall &action)
+{
+    const auto found = m_calls.find(action.call);
+    if (found == m_calls.end()) {
+        return;
+    }
+    found->second.lastError = Dispatch::nameOf(action.reason);
+    end(found, CallEnd::NotRun, Platform::notRunResponse(found->second.call.id, action.retryAfter));
+}
+
+void Traffic::finish(const Dispatch::FinishCall &action)
+{
+    const auto found = m_calls.find(action.call);
+    if (found == m_calls.end()) {
+        return;
+    }
+    auto &live = found->second;
+    const auto answer = live.answers.find(action.attempt);
+    if (action.disposition == Dispatch::Disposition::Done && answer != live.answers.end()) {
+        auto response = std::move(answer->second);
+        const auto how = response.status < 400 ? CallEnd::Answered : CallEnd::Failed;
+        end(found, how, std::move(response));
+        return;
+    }
+    const bool late = steadyNow() >= live.spec.deadline;
+    end(found, late ? CallEnd::Late : CallEnd::Unknown, Platform::ownResponse(live.call.id, late ? 504 : 502));
+}
+
+void Traffic::end(CallMap::iterator call, CallEnd how, Http::Response response)
+{
+    auto &live = call->second;
+    account(live, how, response.status);
+    if (live.responder) {
+        live.responder->send(std::move(response));
+    }
+    for (const auto &[number, it] : live.attempts) {
+        if (it.connection) {
+            it.connection->cancel();
+        }
+    }
+    m_calls.erase(call);
+}
+
+void Traffic::account(const LiveCall &call, CallEnd how, int status)
+{
+    const auto now = steadyNow();
+    ++m_ended[static_cast<std::size_t>(how)];
+    if (how == CallEnd::Answered) {
+        m_latencies.add(now - call.arrived);
+    }
+    m_log.line("call",
+               now,
+               {{"id", call.call.id},
+                {"route", call.route},
+                {"version", Text::concat(call.version)},
+                {"service", call.service->name},
+                {"end", std::string(nameOf(how))},
+                {"status", Text::concat(status)},
+                {"ms", millisText(now - call.arrived)},
+                {"left-ms", millisText(call.spec.deadline - now)},
+                {"returning", call.spec.returning ? "yes" : "no"},
+                {"attempts", Text::concat(call.sent)},
+                {"upstream", call.lastUpstream},
+                {"load", call.lastKnown},
+                {"reason", call.lastError}});
+}
+
+void Traffic::cancelAttempt(const Dispatch::CancelAttempt &action)
+{
+    const auto found = m_calls.find(action.call);
+    if (found == m_calls.end()) {
+        return;
+    }
+    const auto attempt = found->second.attempts.find(action.attempt);
+    if (attempt == found->second.attempts.end()) {
+        return;
+    }
+    if (attempt->second.connection) {
+        attempt->second.connection->cancel();
+    }
+    found->second.attempts.erase(attempt);
+}
+
+void Traffic::callerLeft(std::uint64_t id)
+{
+    const auto found = m_calls.find(id);
+    if (found == m_calls.end()) {
+        return;
+    }
+    auto &live = found->second;
+    auto &service = *live.service;
+    // What may run once is left to end by itself: cut midway nobody could say whether it ran.
+    if (!live.spec.idempotent) {
+        for (auto &[number, it] : live.attempts) {
+            it.connection.reset();
+        }
+    }
+    Dispatch::Actions actions;
+    service.dispatcher.cancel(id, steadyNow(), actions);
+    run(service, actions);
+    live.responder.reset();
+    end(found, CallEnd::CallerLeft, {.status = 0, .headers = {}, .body = {}});
+}
+
+void Traffic::directory(const Http::Request &request, const Http::Responder &responder) const
+{
+    if (!Platform::asksForEntries(request.target)) {
+        responder.send({.status = 404, .headers = {}, .body = {}});
+        return;
+    }
+    std::vector<std::string> addresses;
+    for (const auto &it : m_view->entries) {
+        addresses.push_back(it.address);
+    }
+    std::shuffle(addresses.begin(), addresses.end(), m_random);
+    responder.send(Platform::entriesResponse(addresses, std::min(entryListAge, m_settings.bounds.entryListMaxAge)));
+}
+
+void Traffic::readiness(const Http::Request &request, const Http::Responder &responder) const
+{
+    if (!Platform::asksForReadiness(request.target)) {
+        responder.send({.status = 404, .headers = {}, .body = {}});
+        return;
+    }
+    responder.send(Platform::readinessResponse(m_view->ready()));
+}
+
+void Traffic::noteOthers(std::span<const UpstreamOutcome> outcomes)
+{
+    const auto now = steadyNow();
+    for (const auto &it : outcomes) {
+        const auto service = m_services.find(it.service);
+        if (service != m_services.end()) {
+            const Placement::OutcomeCount count{.upstream = it.upstream, .good = it.good, .bad = it.bad};
+            service->second->dispatcher.noteOthers({&count, 1}, now);
+        }
+    }
+}
+
+void Traffic::takeOutcomes()
+{
+    std::vector<UpstreamOutcome> outcomes;
+    for (auto &[name, service] : m_services) {
+        for (const auto &it : service->dispatcher.takeOutcomes()) {
+            outcomes.push_back({.service = name, .upstream = it.upstream, .good = it.good, .bad = it.bad});
+        }
+    }
+    if (!outcomes.empty()) {
+        m_onOutcomes(std::move(outcomes));
+    }
+}
+
+void Traffic::housekeeping()
+{
+    const auto now = steadyNow();
+    takeOutcomes();
+    std::erase_if(m_upstreams, [&](auto &it) {
+        it.second.pool->sweep(now, keepUpstreamIdle);
+        if (m_addresses.contains(it.first)) {
+            return false;
+        }
+        m_opened += it.second.pool->counters().opened;
+        m_reused += it.second.pool->counters().reused;
+        return true;
+    });
+    m_housekeeping.expires_after(toTimer(housekeepingEvery));
+    m_housekeeping.async_wait([this](const auto &ec) {
+        if (!ec) {
+            housekeeping();
+        }
+    });
+}
+
+void Traffic::drain()
+{
+    m_front.beginClosing();
+}
+
+void Traffic::stopAccepting()
+{
+    m_front.stopAccepting();
+}
+
+void Traffic::stop()
+{
+    m_housekeeping.cancel();
+    m_front.closeAll();
+    m_readiness.closeAll();
+    m_directory.closeAll();
+}
+
+TrafficCounters Traffic::counters() const
+{
+    TrafficCounters counters{.ended = m_ended, .connectionsOpened = m_opened, .connectionsReused = m_reused};
+    for (const auto &[id, it] : m_upstreams) {
+        counters.connectionsOpened += it.pool->counters().opened;
+        counters.connectionsReused += it.pool->counters().reused;
+    }
+    for (const auto &[name, it] : m_services) {
+        const auto &placed = it->dispatcher.counters();
+        counters.placement.calls += placed.calls;
+        counters.placement.sent += placed.sent;
+        counters.placement.retries += placed.retries;
+        counters.placement.hedges += placed.hedges;
+        counters.placement.refused += placed.refused;
+        counters.placement.probes += placed.probes;
+        counters.placement.heldBack += placed.heldBack;
+    }
+    return counters;
+}
+
+std::string Traffic::dump() const
+{
+    const auto now = steadyNow();
+    auto text = Text::concat("calls-open ", m_calls.size(), "\nfront-connections ", m_front.connections(), "\n");
+    for (const auto &[name, service] : m_services) {
+        const auto &dispatcher = service->dispatcher;
+        Text::append(text, "service ", name, " upstreams=", dispatcher.upstreams(), " open=", dispatcher.open());
+        Text::append(text, " typical-ms=", dispatcher.typical().count, " retries-left=", dispatcher.retriesLeft(now), "\n");
+    }
+    for (const auto &it : m_view->upstreams) {
+        const auto service = m_services.find(it.record.service);
+        const auto id = service == m_services.end() ? std::nullopt : service->second->dispatcher.idOf(it.record.id);
+        if (!id) {
+            continue;
+        }
+        const auto &view = *service->second->dispatcher.view(*id);
+        Text::append(text, "upstream ", it.record.id, " service=", it.record.service, " load=", describe(view, now));
+        Text::append(text, " in-flight=", view.inFlight(), " failures=", view.failureRate(now), "\n");
+    }
+    return text;
+}
+
+}
--- /dev/null
+++ b/src/http/clientconnection.cpp
@@ -0,0 +1,276 @@
+#include "http/clientconnection.h"
+
+#include "core/text.h"
+#include "process/wallclock.h"
+
+#include <algorithm>
+#include <boost/asio/write.hpp>
+#include <chrono>
+#include <limits>
+
+namespace Laburnummast::Http
+{
+namespace
+{
+
+namespace Asio = boost::asio;
+namespace Beast = boost::beast::http;
+
+constexpr std::size_t readBytes = 16384;
+constexpr std::uint32_t maxHeadBytes = 65536;
+// Kept idle this long where the server does not say how long it keeps a connection; a common server default.
+constexpr Millis defaultServerKeepsIdle = 5_s;
+
+Millis keepAliveOf(const Response &response)
+{
+    const auto header = find(response.headers, "Keep-Alive");
+    if (!header) {
+        return defaultServerKeepsIdle;
+    }
+    for (const auto it : Text::split(*header, ',')) {
+        const auto [key, value] = Text::splitOnce(it, '=');
+        const auto seconds = Text::parseInteger(Text::trim(value));
+        if (Text::equalsIgnoreCase(Text::trim(key), "timeout") && seconds) {
+            return Millis{static_cast<double>(*seconds) * 1000};
+        }
+    }
+    return defaultServerKeepsIdle;
+}
+
+Response toResponse(Beast::response<Beast::string_body> &&message)
+{
+    Response response;
+    response.status = static_cast<int>(message.result_int());
+    response.keepAlive = message.keep_alive();
+    for (const auto &it : message) {
+        response.headers.push_back(
+            {std::string(it.name_string().data(), it.name_string().size()), std::string(it.value().data(), it.value().size())});
+    }
+    response.body = std::move(message.body());
+    return response;
+}
+
+}
+
+std::string_view nameOf(ClientError error)
+{
+    switch (error) {
+    case ClientError::CannotConnect:
+        return "cannot-connect";
+    case ClientError::ConnectionLost:
+        return "connection-lost";
+    case ClientError::Malformed:
+        return "malformed";
+    case ClientError::TimedOut:
+        return "timed-out";
+    case ClientError::Cancelled:
+        return "cancelled";
+    }
+    return "unknown";
+}
+
+ClientConnection::ClientConnection(Asio::io_context &loop, const Asio::ip::tcp::endpoint &server)
+    : m_socket(loop)
+    , m_timer(loop)
+    , m_server(server)
+{
+}
+
+void ClientConnection::start(Exchange exchange)
+{
+    m_exchange = std::move(exchange);
+    ++m_exchanges;
+    m_written = false;
+    arm();
+    if (m_connected) {
+        send();
+    } else {
+        connect();
+    }
+}
+
+void ClientConnection::connect()
+{
+    m_state = State::Connecting;
+    boost::system::error_code failure;
+    m_socket.open(m_server.protocol(), failure);
+    if (failure) {
+        // Reported from the loop: the caller of start() does not expect a result inside it.
+        Asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->fail(ClientError::CannotConnect); });
+        return;
+    }
+    m_socket.async_connect(m_server, [self = shared_from_this()](const auto &ec) {
+        if (self->m_state != State::Connecting) {
+            return;
+        }
+        if (ec) {
+            self->fail(ClientError::CannotConnect);
+            return;
+        }
+        boost::system::error_code ignored;
+        self->m_socket.set_option(Asio::ip::tcp::no_delay(true), ignored);
+        self->m_connected = true;
+        self->send();
+    });
+}
+
+void ClientConnection::send()
+{
+    m_state = State::Exchanging;
+    newParser();
+    Asio::async_write(m_socket, Asio::buffer(m_exchange.bytes), [self = shared_from_this(), exchange = m_exchanges](const auto &ec, std::size_t) {
+        if (self->m_exchanges != exchange || self->m_state != State::Exchanging) {
+            return;
+        }
+        // A failed write is left to the read: an early response may have come before the reset.
+        self->m_written = !ec;
+    });
+    read();
+}
+
+void ClientConnection::newParser()
+{
+    m_parser.emplace();
+    m_parser->eager(true);
+    m_parser->skip(m_exchange.headRequest);
+    m_parser->header_limit(maxHeadBytes);
+    m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+}
+
+void ClientConnection::read()
+{
+    if (m_reading || m_state == State::Closed) {
+        return;
+    }
+    m_reading = true;
+    m_socket.async_read_some(m_buffer.prepare(readBytes), [self = shared_from_this()](const auto &ec, std::size_t n) { self->received(ec, n); });
+}
+
+void ClientConnection::received(const boost::system::error_code &ec, std::size_t n)
+{
+    m_reading = false;
+    if (m_state == State::Closed) {
+        return;
+    }
+    if (m_state != State::Exchanging) {
+        // Bytes or an end without a request: nothing that comes here belongs to anybody.
+        close();
+        return;
+    }
+    if (ec) {
+        const bool responseEndsHere = ec == Asio::error::eof && m_parser->got_some() && m_parser->is_header_done() && m_parser->need_eof();
+        if (responseEndsHere) {
+            boost::system::error_code ignored;
+            m_parser->put_eof(ignored);
+            responded();
+            return;
+        }
+        fail(ClientError::ConnectionLost);
+        return;
+    }
+    m_buffer.commit(n);
+    feed();
+}
+
+void ClientConnection::feed()
+{
+    while (m_buffer.size() > 0 && !m_parser->is_done()) {
+        boost::system::error_code ec;
+        const auto n = m_parser->put(m_buffer.data(), ec);
+        m_buffer.consume(n);
+        if (ec == Beast::error::need_more) {
+            break;
+        }
+        if (ec) {
+            fail(ClientError::Malformed);
+            return;
+        }
+        if (n == 0) {
+            break;
+        }
+    }
+    if (m_parser->is_done()) {
+        responded();
+        return;
+    }
+    read();
+}
+
+void ClientConnection::responded()
+{
+    const bool endsConnection = m_parser->need_eof();
+    auto response = toResponse(m_parser->release());
+    if (response.status < 200 || (m_exchange.isOurs && !m_exchange.isOurs(response))) {
+        if (endsConnection) {
+            fail(ClientError::ConnectionLost);
+            return;
+        }
+        newParser();
+        if (m_buffer.size() > 0) {
+            feed();
+        } else {
+            read();
+        }
+        return;
+    }
+    // A response that came before the whole request was written leaves the rest of the body due on this connection.
+    const bool reusable = response.keepAlive && !endsConnection && m_written && m_buffer.size() == 0;
+    m_serverKeepsIdle = keepAliveOf(response);
+    m_timer.cancel();
+    if (reusable) {
+        m_state = State::Idle;
+        m_idleSince = Process::steadyNow();
+        read();
+    } else {
+        close();
+    }
+    finish(std::move(response));
+}
+
+void ClientConnection::fail(ClientError error)
+{
+    if (m_state == State::Closed) {
+        return;
+    }
+    close();
+    finish(error);
+}
+
+void ClientConnection::finish(ClientResult result)
+{
+    const auto onResult = std::move(m_exchange.onResult);
+    m_exchange = {};
+    if (onResult) {
+        onResult(std::move(result));
+    }
+}
+
+void ClientConnection::cancel()
+{
+    m_exchange.onResult = nullptr;
+    close();
+}
+
+void ClientConnection::close()
+{
+    if (m_state == State::Closed) {
+        return;
+    }
+    m_state = State::Closed;
+    m_timer.cancel();
+    boost::system::error_code ec;
+    m_socket.close(ec);
+}
+
+void ClientConnection::arm()
+{
+    m_timer.expires_after(std::chrono::microseconds(static_cast<std::int64_t>(std::max(0.0, m_exchange.timeout.count) * 1000)));
+    m_timer.async_wait([self = shared_from_this(), exchange = m_exchanges](const auto &ec) {
+        if (ec || self->m_exchanges != exchange || self->m_state == State::Idle) {
+            return;
+        }
+        self->fail(self->m_state == State::Connecting ? ClientError::CannotConnect : ClientError::TimedOut);
+    });
+}
+
+}
--- /dev/null
+++ b/src/http/serverconnection.cpp
@@ -0,0 +1,322 @@
+#include "http/serverconnection.h"
+
+#include "core/text.h"
+
+#include <algorithm>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+#include <chrono>
+
+namespace Laburnummast::Http
+{
+namespace
+{
+
+namespace Asio = boost::asio;
+namespace Beast = boost::beast::http;
+
+constexpr std::size_t readBytes = 16384;
+// Pipelined bytes that are held while an answer is pending.
+constexpr std::size_t maxPipelinedBytes = 65536;
+// Time in which a client may read the last answer before its connection is closed: a close with bytes unread resets it.
+constexpr Millis lingerTime = 500_ms;
+
+std::string_view toView(boost::beast::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+Request toRequest(Beast::request<Beast::string_body> &&message)
+{
+    Request request;
+    request.method = std::string(toView(message.method_string()));
+    request.target = std::string(toView(message.target()));
+    request.keepAlive = message.keep_alive();
+    for (const auto &it : message) {
+        request.headers.push_back({std::string(toView(it.name_string())), std::string(toView(it.value()))});
+    }
+    request.body = std::move(message.body());
+    return request;
+}
+
+}
+
+Responder::Responder(std::weak_ptr<ServerConnection> connection, std::uint64_t sequence)
+    : m_connection(std::move(connection))
+    , m_sequence(sequence)
+{
+}
+
+void Responder::send(Response response) const
+{
+    if (const auto connection = m_connection.lock()) {
+        connection->respond(m_sequence, std::move(response));
+    }
+}
+
+void Responder::abort() const
+{
+    if (const auto connection = m_connection.lock()) {
+        connection->abort(m_sequence);
+    }
+}
+
+ServerConnection::ServerConnection(Asio::ip::tcp::socket socket, std::shared_ptr<ServerShared> shared)
+    : m_socket(std::move(socket))
+    , m_timer(m_socket.get_executor())
+    , m_shared(std::move(shared))
+{
+}
+
+void ServerConnection::start()
+{
+    boost::system::error_code ec;
+    m_socket.set_option(Asio::ip::tcp::no_delay(true), ec);
+    nextRequest();
+}
+
+void ServerConnection::nextRequest()
+{
+    m_state = State::Reading;
+    m_parser.emplace();
+    m_parser->eager(true);
+    m_parser->header_limit(m_shared->limits.headerBytes);
+    m_parser->body_limit(m_shared->limits.bodyBytes);
+    m_requestBegun = false;
+    m_continueSent = false;
+    if (m_buffer.size() > 0) {
+        feed();
+        return;
+    }
+    if (m_shared->closing) {
+        close();
+        return;
+    }
+    arm(m_shared->limits.idleTimeout);
+    read();
+}
+
+void ServerConnection::feed()
+{
+    if (!m_requestBegun) {
+        m_requestBegun = true;
+        arm(m_shared->limits.headerTimeout);
+    }
+    while (m_buffer.size() > 0 && !m_parser->is_done()) {
+        boost::system::error_code ec;
+        const auto n = m_parser->put(m_buffer.data(), ec);
+        m_buffer.consume(n);
+        if (ec == Beast::error::need_more) {
+            break;
+        }
+        if (ec) {
+            ++m_shared->counters.malformed;
+            const bool headTooLarge = ec == Beast::error::header_limit || ec == Beast::error::buffer_overflow;
+            reject(headTooLarge ? 431 : ec == Beast::error::body_limit ? 413 : 400);
+            return;
+        }
+        if (n == 0) {
+            break;
+        }
+    }
+    if (m_parser->is_done()) {
+        dispatch();
+        return;
+    }
+    if (m_parser->is_header_done()) {
+        arm(m_shared->limits.headerTimeout);
+        sendContinue();
+    } else if (m_buffer.size() > m_shared->limits.headerBytes) {
+        ++m_shared->counters.malformed;
+        reject(431);
+        return;
+    }
+    read();
+}
+
+void ServerConnection::sendContinue()
+{
+    if (m_continueSent || !Text::equalsIgnoreCase(toView(m_parser->get()[Beast::field::expect]), "100-continue")) {
+        return;
+    }
+    m_continueSent = true;
+    boost::system::error_code ec;
+    // A few bytes on a connection with nothing else to write: they fit into the socket's buffer.
+    Asio::write(m_socket, Asio::buffer("HTTP/1.1 100 Continue\r\n\r\n", 25), ec);
+}
+
+void ServerConnection::read()
+{
+    if (m_reading || m_state == State::Closed) {
+        return;
+    }
+    m_reading = true;
+    m_socket.async_read_some(m_buffer.prepare(readBytes), [self = shared_from_this()](const auto &ec, std::size_t n) { self->received(ec, n); });
+}
+
+void ServerConnection::received(const boost::system::error_code &ec, std::size_t n)
+{
+    m_reading = false;
+    if (m_state == State::Closed) {
+        return;
+    }
+    if (ec) {
+        clientLeft();
+        return;
+    }
+    m_buffer.commit(n);
+    switch (m_state) {
+    case State::Reading:
+        feed();
+        return;
+    case State::Lingering:
+        m_buffer.consume(m_buffer.size());
+        read();
+        return;
+    case State::Answering:
+    case State::Writing:
+        if (m_buffer.size() < maxPipelinedBytes) {
+            read();
+        }
+        return;
+    case State::Closed:
+        return;
+    }
+}
+
+void ServerConnection::dispatch()
+{
+    m_timer.cancel();
+    m_state = State::Answering;
+    m_sequence = m_shared->nextRequest++;
+    ++m_shared->counters.requests;
+    auto request = toRequest(m_parser->release());
+    m_headRequest = request.method == "HEAD";
+    m_keepAlive = request.keepAlive;
+    // Reading on is how a client's leaving is seen while its answer is pending.
+    read();
+    m_shared->handler.onRequest(std::move(request), Responder(weak_from_this(), m_sequence), m_sequence);
+}
+
+void ServerConnection::reject(int status)
+{
+    m_timer.cancel();
+    m_state = State::Answering;
+    m_sequence = m_shared->nextRequest++;
+    m_keepAlive = false;
+    m_headRequest = false;
+    respond(m_sequence, {.status = status, .headers = {}, .body = {}, .keepAlive = false});
+}
+
+void ServerConnection::respond(std::uint64_t sequence, Response response)
+{
+    if (m_state != State::Answering || sequence != m_sequence) {
+        return;
+    }
+    m_state = State::Writing;
+    m_keepAlive = m_keepAlive && response.keepAlive && !m_shared->closing;
+    response.keepAlive = m_keepAlive;
+    if (m_keepAlive) {
+        const auto seconds = static_cast<int>(m_shared->limits.idleTimeout / 1_s);
+        if (seconds > 0) {
+            response.headers.push_back({"Keep-Alive", Text::concat("timeout=", seconds)});
+        }
+    }
+    const bool hasBody = response.status >= 200 && response.status != 204 && response.status != 304;
+    m_out = encode(response, hasBody);
+    if (m_headRequest && hasBody) {
+        m_out.resize(m_out.size() - response.body.size());
+    }
+    Asio::async_write(m_socket, Asio::buffer(m_out), [self = shared_from_this()](const auto &ec, std::size_t) { self->written(ec); });
+}
+
+void ServerConnection::written(const boost::system::error_code &ec)
+{
+    if (m_state == State::Closed) {
+        return;
+    }
+    if (ec) {
+        close();
+        return;
+    }
+    m_out.clear();
+    if (m_keepAlive) {
+        nextRequest();
+    } else {
+        linger();
+    }
+}
+
+void ServerConnection::linger()
+{
+    m_state = State::Lingering;
+    boost::system::error_code ec;
+    m_socket.shutdown(Asio::ip::tcp::socket::shutdown_send, ec);
+    m_buffer.consume(m_buffer.size());
+    arm(lingerTime);
+    read();
+}
+
+void ServerConnection::abort(std::uint64_t sequence)
+{
+    if (m_state == State::Answering && sequence == m_sequence) {
+        close();
+    }
+}
+
+void ServerConnection::clientLeft()
+{
+    const bool pending = m_state == State::Answering;
+    close();
+    if (pending) {
+        ++m_shared->counters.left;
+        m_shared->handler.onLeft(m_sequence);
+    }
+}
+
+void ServerConnection::closeIfIdle()
+{
+    if (m_state == State::Reading && !m_requestBegun && m_buffer.size() == 0) {
+        close();
+    }
+}
+
+void ServerConnection::close()
+{
+    if (m_state == State::Closed) {
+        return;
+    }
+    m_state = State::Closed;
+    m_timer.cancel();
+    boost::system::error_code ec;
+    m_socket.close(ec);
+}
+
+void ServerConnection::arm(Millis timeout)
+{
+    m_timer.expires_after(std::chrono::microseconds(static_cast<std::int64_t>(timeout.count * 1000)));
+    m_timer.async_wait([self = shared_from_this()](const auto &ec) {
+        if (!ec) {
+            self->timedOut();
+        }
+    });
+}
+
+void ServerConnection::timedOut()
+{
+    if (m_state == State::Lingering) {
+        close();
+        return;
+    }
+    if (m_state != State::Reading) {
+        return;
+    }
+    if (!m_requestBegun) {
+        close();
+        return;
+    }
+    ++m_shared->counters.timedOut;
+    reject(408);
+}
+
+}
--- /dev/null
+++ b/src/platform/records.cpp
@@ -0,0 +1,265 @@
+#include "platform/records.h"
+
+#include "core/config/address.h"
+#include "platform/settings.h"
+
+#include <limits>
+#include <nlohmann/json.hpp>
+#include <string>
+
+namespace Laburnummast::Platform
+{
+namespace
+{
+
+using Json = nlohmann::json;
+
+Json parse(std::string_view text)
+{
+    return Json::parse(text.begin(), text.end(), nullptr, false);
+}
+
+// Reads the fields of one JSON object; the first failure stands.
+class Fields
+{
+public:
+    explicit Fields(const Json &object)
+        : m_object(object)
+    {
+    }
+
+    std::string text(const char *name)
+    {
+        const auto *value = find(name);
+        if (!value || !value->is_string()) {
+            return fail<std::string>(value);
+        }
+        return value->get<std::string>();
+    }
+
+    double number(const char *name, double least, double most)
+    {
+        const auto *value = find(name);
+        if (!value || !value->is_number() || value->get<double>() < least || value->get<double>() > most) {
+            return fail<double>(value);
+        }
+        return value->get<double>();
+    }
+
+    Millis duration(const char *name)
+    {
+        const auto *value = find(name);
+        const auto parsed = value && value->is_string() ? parseDuration(value->get<std::string>()) : std::nullopt;
+        return parsed ? *parsed : fail<Millis>(value);
+    }
+
+    bool has(const char *name) const
+    {
+        return m_object.contains(name) && !m_object[name].is_null();
+    }
+
+    const std::optional<RecordError> &error() const
+    {
+        return m_error;
+    }
+
+private:
+    const Json *find(const char *name) const
+    {
+        const auto it = m_object.find(name);
+        return it == m_object.end() ? nullptr : &*it;
+    }
+
+    template <class T>
+    T fail(const Json *value)
+    {
+        if (!m_error) {
+            m_error = value ? RecordError::FieldOfOtherType : RecordError::FieldMissing;
+        }
+        return {};
+    }
+
+    const Json &m_object;
+    std::optional<RecordError> m_error;
+};
+
+constexpr double maxSlots = 1e6;
+constexpr double maxCount = 1e9;
+
+Result<Routes::Route, RecordError> decodeRoute(const std::string &name, const Json &object)
+{
+    if (!object.is_object()) {
+        return RecordError::FieldOfOtherType;
+    }
+    Fields fields(object);
+    Routes::Route route;
+    route.name = name;
+    route.host = fields.text("host");
+    route.pathPrefix = fields.text("path-prefix");
+    const auto kind = fields.text("kind");
+    route.timeout = fields.duration("timeout");
+    if (fields.has("target-latency")) {
+        route.objective = fields.duration("target-latency");
+    }
+    if (fields.has("priority")) {
+        route.rank = static_cast<int>(fields.number("priority", 0, maxCount));
+    }
+    if (fields.has("max-attempts")) {
+        route.maxAttempts = static_cast<int>(fields.number("max-attempts", 1, maxCount));
+    }
+    if (fields.has("traffic-split")) {
+        for (const auto &it : object["traffic-split"]) {
+            if (!it.is_object()) {
+                return RecordError::FieldOfOtherType;
+            }
+            Fields part(it);
+            route.parts.push_back({.service = part.text("service"), .weight = part.number("weight", 0, maxCount)});
+            if (part.error()) {
+                return *part.error();
+            }
+        }
+    } else {
+        route.parts.push_back({.service = fields.text("service"), .weight = 1});
+    }
+    if (fields.error()) {
+        return *fields.error();
+    }
+    if (route.parts.empty()) {
+        return RecordError::FieldMissing;
+    }
+    // A kind that is not known may run once at most: the careful reading.
+    route.idempotent = kind == "safe";
+    route.bulk = kind == "upload";
+    return route;
+}
+
+std::vector<Routes::ServiceSpec> decodeServices(const Json &object)
+{
+    std::vector<Routes::ServiceSpec> services;
+    for (const auto &[name, it] : object.items()) {
+        Routes::ServiceSpec spec{.name = name};
+        if (it.is_object()) {
+            Fields fields(it);
+            spec.healthPath = fields.has("health-check-path") ? fields.text("health-check-path") : spec.healthPath;
+            spec.maxConnections
+                = fields.has("max-connections") ? static_cast<int>(fields.number("max-connections", 1, maxCount)) : spec.maxConnections;
+        }
+        services.push_back(std::move(spec));
+    }
+    return services;
+}
+
+Routes::CallerLimits decodeLimits(const Json &object)
+{
+    Routes::CallerLimits limits;
+    if (!object.is_object()) {
+        return limits;
+    }
+    Fields fields(object);
+    if (fields.has("max-header-bytes")) {
+        limits.headerBytes = static_cast<std::uint32_t>(fields.number("max-header-bytes", 1, maxCount));
+    }
+    if (fields.has("max-body-bytes")) {
+        limits.bodyBytes = static_cast<std::uint64_t>(fields.number("max-body-bytes", 1, std::numeric_limits<double>::max()));
+    }
+    if (fields.has("header-timeout")) {
+        limits.headerTimeout = fields.duration("header-timeout");
+    }
+    if (fields.has("idle-timeout")) {
+        limits.idleTimeout = fields.duration("idle-timeout");
+    }
+    return fields.error() ? Routes::CallerLimits{} : limits;
+}
+
+}
+
+std::string_view nameOf(RecordError error)
+{
+    switch (error) {
+    case RecordError::Unreadable:
+        return "unreadable";
+    case RecordError::FieldMissing:
+        return "field-missing";
+    case RecordError::FieldOfOtherType:
+        return "field-of-other-type";
+    case RecordError::UnknownWord:
+        return "unknown-word";
+    }
+    return "unknown";
+}
+
+std::string_view routesKey()
+{
+    return "config";
+}
+
+Result<Fleet::UpstreamRecord, RecordError> decodeUpstream(std::string_view key, std::string_view value)
+{
+    const auto json = parse(value);
+    if (!json.is_object()) {
+        return RecordError::Unreadable;
+    }
+    Fields fields(json);
+    Fleet::UpstreamRecord record;
+    record.id = key;
+    record.service = fields.text("service");
+    const auto address = Config::parseAddress(fields.text("address"));
+    record.domain = fields.text("zone");
+    record.slots = static_cast<int>(fields.number("slots", 1, maxSlots));
+    const auto state = fields.text("state");
+    if (fields.has("version")) {
+        record.software = fields.text("version");
+    }
+    if (fields.has("cold-remaining")) {
+        record.coldFor = fields.duration("cold-remaining");
+    }
+    // Unix milliseconds of the upstream's start, of the record's writer and not of the record.
+    if (fields.has("born")) {
+        record.startedAt = static_cast<std::int64_t>(fields.number("born", 0, 1e15));
+    }
+    if (fields.error()) {
+        return *fields.error();
+    }
+    if (!address) {
+        return RecordError::FieldOfOtherType;
+    }
+    if (state != "ready" && state != "draining") {
+        return RecordError::UnknownWord;
+    }
+    record.address = *address;
+    record.draining = state == "draining";
+    return record;
+}
+
+Result<Routes::RouteTable, RecordError> decodeRoutes(std::string_view value)
+{
+    const auto json = parse(value);
+    if (!json.is_object()) {
+        return RecordError::Unreadable;
+    }
+    Fields fields(json);
+    const auto version = fields.number("version", 0, 9e15);
+    if (fields.error()) {
+        return *fields.error();
+    }
+    if (!json.contains("routes") || !json.contains("services")) {
+        return RecordError::FieldMissing;
+    }
+    if (!json["routes"].is_object() || !json["services"].is_object()) {
+        return RecordError::FieldOfOtherType;
+    }
+    std::vector<Routes::Route> routes;
+    for (const auto &[name, it] : json["routes"].items()) {
+        auto route = decodeRoute(name, it);
+        if (const auto *error = std::get_if<RecordError>(&route)) {
+            return *error;
+        }
+        routes.push_back(std::move(std::get<Routes::Route>(route)));
+    }
+    return Routes::RouteTable(static_cast<std::uint64_t>(version),
+                              std::move(routes),
+                              decodeServices(json["services"]),
+                              json.contains("limits") ? decodeLimits(json["limits"]) : Routes::CallerLimits{});
+}
+
+}
--- /dev/null
+++ b/src/platform/storeprotocol.cpp
@@ -0,0 +1,187 @@
+#include "platform/storeprotocol.h"
+
+#include "core/text.h"
+
+#include <cstdio>
+#include <nlohmann/json.hpp>
+#include <optional>
+
+namespace Laburnummast::Platform
+{
+namespace
+{
+
+using Json = nlohmann::json;
+
+constexpr std::size_t lengthBytes = 4;
+constexpr std::size_t offsetBytes = 8;
+
+std::uint64_t bigEndian(std::string_view bytes)
+{
+    std::uint64_t number = 0;
+    for (const char it : bytes) {
+        number = number << 8 | static_cast<unsigned char>(it);
+    }
+    return number;
+}
+
+std::string percentEncoded(std::string_view text)
+{
+    std::string encoded;
+    for (const char it : text) {
+        const auto c = static_cast<unsigned char>(it);
+        if (std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.' || c == '~') {
+            encoded.push_back(it);
+        } else {
+            constexpr std::string_view digits = "0123456789ABCDEF";
+            encoded.append({'%', digits[c >> 4], digits[c & 15]});
+        }
+    }
+    return encoded;
+}
+
+std::optional<StoreError> errorOf(const Http::Response &response)
+{
+    switch (response.status) {
+    case 200:
+        return std::nullopt;
+    case 410:
+        return StoreError::RecordsGone;
+    case 429:
+        return StoreError::Throttled;
+    case 503:
+        return StoreError::Unavailable;
+    default:
+        return StoreError::Unexpected;
+    }
+}
+
+// A record's content: one byte of length, the key, and the value, which is missing where the key is dropped.
+std::optional<Feed::KeyedRecord> decodeKeyed(std::string_view content, std::int64_t offset)
+{
+    if (content.empty()) {
+        return std::nullopt;
+    }
+    const std::size_t keyBytes = static_cast<unsigned char>(content.front());
+    if (content.size() < 1 + keyBytes) {
+        return std::nullopt;
+    }
+    Feed::KeyedRecord record{.key = std::string(content.substr(1, keyBytes)), .offset = offset, .value = std::nullopt};
+    const auto value = content.substr(1 + keyBytes);
+    if (!value.empty()) {
+        record.value = std::string(value);
+    }
+    return record;
+}
+
+std::optional<Feed::KeyedRecord> decodeItem(const Json &item)
+{
+    if (!item.is_object() || !item.contains("key") || !item["key"].is_string() || !item.contains("offset") || !item["offset"].is_number_integer()) {
+        return std::nullopt;
+    }
+    Feed::KeyedRecord record{.key = item["key"].get<std::string>(), .offset = item["offset"].get<std::int64_t>(), .value = std::nullopt};
+    if (item.contains("value") && item["value"].is_string()) {
+        record.value = Text::fromBase64(item["value"].get<std::string>());
+    }
+    return record;
+}
+
+}
+
+std::string_view nameOf(StoreError error)
+{
+    switch (error) {
+    case StoreError::RecordsGone:
+        return "records-gone";
+    case StoreError::Throttled:
+        return "throttled";
+    case StoreError::Unavailable:
+        return "unavailable";
+    case StoreError::Malformed:
+        return "malformed";
+    case StoreError::Unexpected:
+        return "unexpected";
+    }
+    return "unknown";
+}
+
+std::string_view routesTopic()
+{
+    return "keyed.op";
+}
+
+std::string_view upstreamsTopic()
+{
+    return "keyed.servers";
+}
+
+Http::Request newestRequest(std::string_view topic, std::string_view afterKey)
+{
+    auto target = Text::concat("/laburnummast/log-newest?topic=", topic, "&part=0");
+    if (!afterKey.empty()) {
+        Text::append(target, "&after=", percentEncoded(afterKey));
+    }
+    return {.method = "GET", .target = std::move(target), .headers = {}, .body = {}};
+}
+
+Result<NewestPage, StoreError> decodeNewest(const Http::Response &response)
+{
+    if (const auto error = errorOf(response)) {
+        return *error;
+    }
+    const auto json = Json::parse(response.body, nullptr, false);
+    if (!json.is_object() || !json.contains("items") || !json["items"].is_array() || !json.contains("end") || !json["end"].is_number_integer()) {
+        return StoreError::Malformed;
+    }
+    NewestPage page;
+    page.end = json["end"].get<std::int64_t>();
+    page.more = json.value("more", false);
+    for (const auto &it : json["items"]) {
+        if (auto record = decodeItem(it)) {
+            page.records.push_back(std::move(*record));
+        }
+    }
+    return page;
+}
+
+Http::Request readRequest(std::string_view topic, std::int64_t from, Millis wait)
+{
+    return {.method = "GET",
+            .target = Text::concat(
+                "/laburnummast/log-read?topic=", topic, "&part=0&from=", from, "&wait-ms=", static_cast<std::int64_t>(wait.count)),
+            .headers = {},
+            .body = {}};
+}
+
+Result<LogRecords, StoreError> decodeRead(const Http::Response &response, std::int64_t from)
+{
+    if (const auto error = errorOf(response)) {
+        return *error;
+    }
+    std::string_view bytes = response.body;
+    if (bytes.size() < 2 * offsetBytes) {
+        return StoreError::Malformed;
+    }
+    LogRecords log;
+    log.end = static_cast<std::int64_t>(bigEndian(bytes.substr(0, offsetBytes)));
+    log.first = static_cast<std::int64_t>(bigEndian(bytes.substr(offsetBytes, offsetBytes)));
+    log.next = from;
+    bytes.remove_prefix(2 * offsetBytes);
+    while (bytes.size() >= lengthBytes) {
+        const auto length = bigEndian(bytes.substr(0, lengthBytes));
+        if (bytes.size() - lengthBytes < length) {
+            return StoreError::Malformed;
+        }
+        auto record = decodeKeyed(bytes.substr(lengthBytes, length), log.next);
+        if (record) {
+            log.records.push_back(std::move(*record));
+        } else {
+            ++log.unreadable;
+        }
+        ++log.next;
+        bytes.remove_prefix(lengthBytes + length);
+    }
+    return log;
+}
+
+}
--- a/src/process/log.h
+++ b/src/process/log.h
@@ -15,8 +15,12 @@
     std::string value;
 };
 
-/// Sends log lines to standard error; each carries the time, the level, the process's name and an event.
+/// Sends log lines to standard output; each carries the time, the level, the process's name and an event.
+///
+/// A thread of its own writes them: who logs never waits, and lines are dropped while nobody reads them.
 void startLog(std::string_view processName);
+/// Writes what is queued and ends the thread.
+void stopLog();
 
 void logInfo(std::string_view event, std::initializer_list<LogField> fields = {});
 void logWarning(std::string_view event, std::initializer_list<LogField> fields = {});
