Calls go only where one more raises what an upstream serves; the curve is learned

Change: core/placement/speedmodel learns the time by share of slots taken and how much of a told slowness is felt; an upstream that would serve less gets nothing, who has no retry left goes where it is late but costs nobody.

--- a/src/core/placement/servicedispatcher.cpp
+++ b/src/core/placement/servicedispatcher.cpp
@@ -11,9 +11,6 @@
 using Dispatch::Disposition;
 using Dispatch::RefusalReason;
 
-// Usual time of a call before any was measured.
-constexpr Millis firstTypical = 50_ms;
-constexpr double typicalWeight = 0.05;
 // An upstream up to this factor slower than usual suits at once.
 constexpr double goodSlowness = 1.5;
 // An upstream that fails more often than this is taken only where nothing else suits.
@@ -44,7 +41,6 @@
     , m_random(seed)
     , m_budget(options.retries)
     , m_probeTokens(options.probesPerSecond, options.probesPerSecond * probeBurstSeconds)
-    , m_typical(firstTypical)
 {
 }
 
@@ -232,7 +228,7 @@
         if (m_tellsLoad && view.occupied() + 1 > view.slots() + maxQueued) {
             continue;
         }
-        const auto expected = view.expectedTime(m_typical, now);
+        const auto expected = m_speeds.expected(view.placement(now));
         const bool remote = view.spec().domain != m_options.domain;
         const auto distance = !remote ? 0_ms : call.spec.bulk ? remoteBulkCost : remoteCost;
         const double failures = view.failureRate(now);
@@ -251,20 +247,26 @@
     if (!m_tellsLoad) {
         return true;
     }
-    return view.hasRoom() && view.slowness(now) <= goodSlowness && view.failureRate(now) <= goodFailureRate
+    return m_speeds.gains(view.occupied(), view.slots()) && view.slowness(now) <= goodSlowness && view.failureRate(now) <= goodFailureRate
         && now + choice.expected <= call.spec.deadline;
 }
 
 bool ServiceDispatcher::isAcceptable(const Open &call, const Choice &choice, Millis now) const
 {
     const auto &view = m_slots[choice.upstream].view;
-    if (call.search == Search::Hedge) {
-        return false;
-    }
-    if (!view.hasSlot() && call.search == Search::First) {
+    if (call.search == Search::Hedge || !m_speeds.gains(view.occupied(), view.slots())) {
         return false;
     }
-    return now + choice.expected <= call.spec.objective || (now >= call.spec.objective && now + choice.expected <= call.spec.deadline);
+    const auto useful = now < call.spec.objective ? call.spec.objective : call.spec.deadline;
+    return now + choice.expected <= useful;
+}
+
+bool ServiceDispatcher::isLastResort(const Open &call, const Choice &choice, Millis now) const
+{
+    // Who comes back once more may still be in time then; who does not is better late than refused, if nobody else pays for it.
+    const auto &view = m_slots[choice.upstream].view;
+    const bool lastTry = call.spec.returning || call.search == Search::Retry;
+    return lastTry && m_speeds.gains(view.occupied(), view.slots()) && now + choice.expected <= call.spec.deadline;
 }
 
 bool ServiceDispatcher::advance(Open &call, Millis now, Actions &actions)
@@ -291,8 +293,7 @@
         return false;
     }
     if (now >= holdLimit(call)) {
-        // The last chance: a slot that would be late is better than none.
-        if (choice && m_slots[choice->upstream].view.hasSlot() && now + choice->expected <= call.spec.deadline) {
+        if (choice && isLastResort(call, *choice, now)) {
             send(call, *choice, now, actions);
             return false;
         }
@@ -309,10 +310,10 @@
 Millis ServiceDispatcher::holdLimit(const Open &call) const
 {
     if (call.search == Search::Retry) {
-        return call.spec.deadline - m_typical;
+        return call.spec.deadline - m_speeds.typical();
     }
     if (call.spec.returning) {
-        return std::max(call.spec.objective - m_typical, call.arrived + (call.spec.deadline - call.arrived) * 0.25);
+        return std::max(call.spec.objective - m_speeds.typical(), call.arrived + (call.spec.deadline - call.arrived) * 0.25);
     }
     return call.arrived + (call.spec.objective - call.arrived) * m_options.holdShare;
 }
@@ -326,7 +327,7 @@
         ++(hedge ? m_counters.hedges : m_counters.retries);
     }
     ++m_counters.sent;
-    const Attempt attempt{.number = call.nextAttempt++, .upstream = choice.upstream, .sentAt = now, .slowness = view.slowness(now)};
+    const Attempt attempt{.number = call.nextAttempt++, .upstream = choice.upstream, .sentAt = now, .placed = view.placement(now)};
     view.noteSent();
     call.active.push_back(attempt);
     call.tried.push_back(choice.upstream);
@@ -339,10 +340,10 @@
 
 Millis ServiceDispatcher::hedgeTime(const Open &call, Millis now) const
 {
-    if (!call.spec.idempotent || !m_measured) {
+    if (!call.spec.idempotent || !m_speeds.measured()) {
         return call.spec.deadline;
     }
-    return now + m_typical * hedgeFactor;
+    return now + m_speeds.typical() * hedgeFactor;
 }
 
 bool ServiceDispatcher::giveUp(Open &call, Millis now, Actions &actions)
@@ -364,7 +365,7 @@
 Millis ServiceDispatcher::retryAfter(const Open &call, Millis now)
 {
     // Spread over the time that is left for an answer within the objective, or else over the time that is left at all.
-    const auto useful = call.spec.objective - now - m_typical;
+    const auto useful = call.spec.objective - now - m_speeds.typical();
     const auto left = useful > 0_ms ? useful * 0.6 : (call.spec.deadline - now) * 0.25;
     std::uniform_real_distribution<double> spread(0.3, 1.0);
     return std::max(5_ms, left * spread(m_random));
@@ -443,7 +444,7 @@
         slot.view.noteSilent(now);
     }
     if (good) {
-        noteLatency(*attempt, now);
+        m_speeds.learn(attempt->placed, now - attempt->sentAt);
     }
     call.active.erase(attempt);
     if (endAttempt(call, number, outcome, now, actions)) {
@@ -478,7 +479,7 @@
 bool ServiceDispatcher::mayTryAgain(const Open &call, AttemptOutcome outcome, Millis now) const
 {
     const bool mayRunAgain = call.spec.idempotent || !call.mayHaveRun;
-    if (!mayRunAgain || call.runs >= call.spec.maxAttempts || now + m_typical > call.spec.deadline) {
+    if (!mayRunAgain || call.runs >= call.spec.maxAttempts || now + m_speeds.typical() > call.spec.deadline) {
         return false;
     }
     return outcome == AttemptOutcome::NotSent || m_budget.allows(now);
@@ -573,11 +574,4 @@
     return due;
 }
 
-void ServiceDispatcher::noteLatency(const Attempt &attempt, Millis now)
-{
-    const auto usual = (now - attempt.sentAt) * (1 / std::max(1.0, attempt.slowness));
-    m_typical = m_measured ? m_typical * (1 - typicalWeight) + usual * typicalWeight : usual;
-    m_measured = true;
-}
-
 }
--- a/src/core/placement/servicedispatcher.h
+++ b/src/core/placement/servicedispatcher.h
@@ -5,6 +5,7 @@
 #include "core/millis.h"
 #include "core/placement/loadreport.h"
 #include "core/placement/placementoptions.h"
+#include "core/placement/speedmodel.h"
 #include "core/placement/upstreamview.h"
 #include "core/retry/sharedretrybudget.h"
 #include "core/retry/tokenbucket.h"
@@ -108,9 +109,9 @@
     {
         return m_present;
     }
-    Millis typical() const
+    const SpeedModel &speeds() const
     {
-        return m_typical;
+        return m_speeds;
     }
     double retriesLeft(Millis now) const
     {
@@ -133,8 +134,7 @@
         AttemptNumber number = 0;
         UpstreamId upstream = 0;
         Millis sentAt;
-        /// Expected slowness when it was sent.
-        double slowness = 1;
+        PlacedAt placed;
     };
 
     /// Why a call looks for an upstream.
@@ -182,6 +182,7 @@
     std::optional<Choice> best(const Open &call, Millis now) const;
     bool isGood(const Open &call, const Choice &choice, Millis now) const;
     bool isAcceptable(const Open &call, const Choice &choice, Millis now) const;
+    bool isLastResort(const Open &call, const Choice &choice, Millis now) const;
     void send(Open &call, const Choice &choice, Millis now, Actions &actions);
     bool giveUp(Open &call, Millis now, Actions &actions);
     bool mayTryAgain(const Open &call, AttemptOutcome outcome, Millis now) const;
@@ -194,7 +195,6 @@
     Millis hedgeTime(const Open &call, Millis now) const;
     Millis dueOf(const Open &call) const;
     void advanceWaiting(Millis now, Actions &actions);
-    void noteLatency(const Attempt &attempt, Millis now);
     bool candidate(const Slot &slot, Millis now) const;
 
     PlacementOptions m_options;
@@ -206,9 +206,7 @@
     Retry::SharedRetryBudget m_budget;
     Retry::TokenBucket m_probeTokens;
     std::size_t m_present = 0;
-    /// Usual time of a call on an upstream at its usual speed.
-    Millis m_typical;
-    bool m_measured = false;
+    SpeedModel m_speeds;
     int m_silentOnLoad = 0;
     bool m_tellsLoad = true;
     PlacementCounters m_counters;
--- a/src/core/placement/upstreamview.cpp
+++ b/src/core/placement/upstreamview.cpp
@@ -14,9 +14,6 @@
 constexpr double priorGood = 2;
 // An upstream that starts is about this much slower while it is cold.
 constexpr double coldSlowness = 1.5;
-// Beyond this share of its slots an upstream slows down, up to the factor below when it is full.
-constexpr double crowdedFrom = 0.7;
-constexpr double crowdedSlowness = 1.7;
 constexpr Millis firstAlone = 150_ms;
 constexpr Millis longestAlone = 2_s;
 constexpr Millis unhealthyFor = 1_s;
@@ -115,12 +112,6 @@
     return std::max(1.0, m_report ? m_report->slots : static_cast<double>(m_spec.slots));
 }
 
-bool UpstreamView::hasRoom() const
-{
-    // A lone slot is never crowded by the call that takes it.
-    return occupied() + 1 <= std::max(1.0, slots() * crowdedFrom);
-}
-
 double UpstreamView::slowness(Millis now) const
 {
     const double told = m_report ? std::max(0.1, m_report->slowness) : 1;
@@ -128,13 +119,11 @@
     return told * cold * (unhealthy(now) ? unhealthySlowness : 1);
 }
 
-Millis UpstreamView::expectedTime(Millis typical, Millis now) const
+PlacedAt UpstreamView::placement(Millis now) const
 {
-    const double share = (occupied() + 1) / slots();
-    const double crowding = std::clamp((share - crowdedFrom) / (1 - crowdedFrom), 0.0, 1.0);
-    const double waiting = std::max(0.0, occupied() + 1 - slots()) / slots();
-    const double crowd = slots() > 1 ? 1 + (crowdedSlowness - 1) * crowding : 1;
-    return typical * (slowness(now) * (crowd + waiting));
+    // A lone slot is never crowded by the call that takes it.
+    const double calls = occupied() + 1;
+    return {.share = slots() > 1 ? calls / slots() : calls - 1, .slowness = slowness(now)};
 }
 
 }
--- a/src/core/placement/upstreamview.h
+++ b/src/core/placement/upstreamview.h
@@ -3,6 +3,7 @@
 
 #include "core/millis.h"
 #include "core/placement/loadreport.h"
+#include "core/placement/speedmodel.h"
 
 #include <cstdint>
 #include <optional>
@@ -61,17 +62,15 @@
     /// Calls that run or wait there, with those sent since the report.
     double occupied() const;
     double slots() const;
-    /// Whether it would start one more call at once and at full speed.
-    bool hasRoom() const;
     /// Whether it would start one more call at once.
     bool hasSlot() const
     {
         return occupied() + 1 <= slots();
     }
-    /// Factor on the usual time of a call.
+    /// Factor on the usual time of a call, as far as it is told.
     double slowness(Millis now) const;
-    /// Expected time of one more call, waiting included.
-    Millis expectedTime(Millis typical, Millis now) const;
+    /// What one more call would find.
+    PlacedAt placement(Millis now) const;
 
     const UpstreamSpec &spec() const
     {
--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -658,7 +658,7 @@
     for (const auto &[name, service] : m_services) {
         const auto &dispatcher = service->dispatcher;
         Text::append(text, "service ", name, " upstreams=", dispatcher.upstreams(), " open=", dispatcher.open());
-        Text::append(text, " typical-ms=", dispatcher.typical().count, " retries-left=", dispatcher.retriesLeft(now), "\n");
+        Text::append(text, " typical-ms=", dispatcher.speeds().typical().count, " persistence=", dispatcher.speeds().persistence(), " full-crowding=", dispatcher.speeds().crowding(1), " retries-left=", dispatcher.retriesLeft(now), "\n");
     }
     for (const auto &it : m_view->upstreams) {
         const auto service = m_services.find(it.record.service);
