--- a/src/core/placement/placementoptions.h
+++ b/src/core/placement/placementoptions.h
@@ -15,11 +15,11 @@
     /// Failure domain of this daemon.
     std::string domain;
     Retry::SharedRetryBudgetOptions retries;
-    /// Probes a second that this daemon may send to the service's upstreams.
-    double probesPerSecond = 100;
     /// Upstreams asked at first, and again where none of them suits.
     std::size_t askFirst = 4;
     std::size_t askMore = 6;
+    /// Upstreams asked each time for all calls that wait.
+    std::size_t askHeld = 3;
     /// A load heard of within this time is as good as a new one.
     Millis freshFor{6};
     /// Answers to probes are waited for no longer: a few network round trips within a region.
--- a/src/core/placement/servicedispatcher.cpp
+++ b/src/core/placement/servicedispatcher.cpp
@@ -38,24 +38,19 @@
 constexpr Millis answerGrace = 40_ms;
 // An upstream is not sent more than its slots and this many waiting calls: beyond its queue it resets connections.
 constexpr double maxQueued = 2;
-// Burst of probes that may go out at once, in seconds of their rate.
-constexpr double probeBurstSeconds = 1;
 
 }
 
-ServiceDispatcher::ServiceDispatcher(const PlacementOptions &options, std::uint64_t seed)
+ServiceDispatcher::ServiceDispatcher(const PlacementOptions &options, Retry::TokenBucket &probeTokens, std::uint64_t seed)
     : m_options(options)
     , m_random(seed)
     , m_budget(options.retries)
-    , m_probeTokens(options.probesPerSecond, options.probesPerSecond * probeBurstSeconds)
+    , m_probeTokens(probeTokens)
 {
 }
 
 void ServiceDispatcher::configure(const PlacementOptions &options)
 {
-    if (options.probesPerSecond != m_options.probesPerSecond) {
-        m_probeTokens = {options.probesPerSecond, options.probesPerSecond * probeBurstSeconds};
-    }
     m_options = options;
     m_budget.configure(options.retries);
 }
@@ -319,13 +314,23 @@
         return giveUp(call, now, actions);
     }
     if (now >= call.roundEnds + m_options.askAgain) {
-        ++m_counters.heldBack;
-        call.asked.clear();
-        askSome(call, m_options.askFirst, now, actions);
+        askForHeld(call, now, actions);
     }
     return false;
 }
 
+void ServiceDispatcher::askForHeld(Open &call, Millis now, Actions &actions)
+{
+    // What is heard for one call that waits serves all of them; answers to earlier calls bring news as well.
+    ++m_counters.heldBack;
+    call.asked.clear();
+    const bool askedAlready = now < m_heldAskedAt + m_options.askAgain;
+    if (!askedAlready) {
+        m_heldAskedAt = now;
+    }
+    askSome(call, askedAlready ? 0 : m_options.askHeld, now, actions);
+}
+
 Millis ServiceDispatcher::holdLimit(const Open &call) const
 {
     if (call.search == Search::Retry) {
@@ -468,6 +473,9 @@
     if (endAttempt(call, number, outcome, now, actions)) {
         m_calls.erase(id);
     }
+    if (load) {
+        advanceWaiting(now, actions);
+    }
 }
 
 bool ServiceDispatcher::endAttempt(Open &call, AttemptNumber number, AttemptOutcome outcome, Millis now, Actions &actions)
--- a/src/core/placement/servicedispatcher.h
+++ b/src/core/placement/servicedispatcher.h
@@ -74,7 +74,8 @@
 class ServiceDispatcher
 {
 public:
-    ServiceDispatcher(const PlacementOptions &options, std::uint64_t seed);
+    /// `probeTokens` bounds the probes of all services of this daemon together.
+    ServiceDispatcher(const PlacementOptions &options, Retry::TokenBucket &probeTokens, std::uint64_t seed);
     ServiceDispatcher(const ServiceDispatcher &) = delete;
     ServiceDispatcher &operator=(const ServiceDispatcher &) = delete;
 
@@ -182,6 +183,7 @@
     void freeAbsentSlots();
     void startSearch(Open &call, Search search, Millis now, Actions &actions);
     void askSome(Open &call, std::size_t count, Millis now, Actions &actions);
+    void askForHeld(Open &call, Millis now, Actions &actions);
     bool roundOver(const Open &call, Millis now) const;
     /// Sends, asks again, waits or gives up. Returns whether the call is over.
     bool advance(Open &call, Millis now, Actions &actions);
@@ -213,11 +215,12 @@
     std::vector<UpstreamId> m_free;
     std::map<CallId, Open> m_calls;
     Retry::SharedRetryBudget m_budget;
-    Retry::TokenBucket m_probeTokens;
+    Retry::TokenBucket &m_probeTokens;
     std::size_t m_present = 0;
     SpeedModel m_speeds;
     /// Share of late searches that found no upstream with room.
     double m_pressure = 0;
+    Millis m_heldAskedAt{-1e9};
     int m_silentOnLoad = 0;
     bool m_tellsLoad = true;
     PlacementCounters m_counters;
--- a/src/core/retry/tokenbucket.h
+++ b/src/core/retry/tokenbucket.h
@@ -29,6 +29,14 @@
         return true;
     }
 
+    /// Changes the rate; what was saved up stays, within the new burst.
+    void setRate(double perSecond, double burst)
+    {
+        m_perSecond = perSecond;
+        m_burst = burst;
+        m_tokens = std::min(m_tokens, burst);
+    }
+
 private:
     void refill(Millis now)
     {
--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -21,8 +21,6 @@
 
 constexpr std::chrono::milliseconds tickEvery(50);
 constexpr Millis reportEvery = 250_ms;
-// After a start, others are looked for this long before this daemon reads the store out of its turn.
-constexpr Millis joinTime = 300_ms;
 // Without any word for this long the store counts as away: longer than a change of readers takes.
 constexpr Millis awayAfter = 3_s;
 
@@ -143,10 +141,6 @@
 void Control::chooseReaders(Millis now)
 {
     const auto names = daemons();
-    const bool joining = now - m_startedAt < joinTime && names.size() <= 1 && !m_settings.seeds.empty();
-    if (joining) {
-        return;
-    }
     for (const auto topic : {Topic::Routes, Topic::Upstreams}) {
         auto &followed = of(topic);
         const auto name = topic == Topic::Routes ? Platform::routesTopic() : Platform::upstreamsTopic();
@@ -154,7 +148,8 @@
         const bool better = followed.betterReaderAt && now - *followed.betterReaderAt <= reportEvery * 3;
         const auto place = Fleet::readerPlace(name, names, m_settings.host);
         const bool active = followed.follower->active();
-        const bool wanted = Fleet::shouldRead(place, age, active, better, m_rules);
+        // A daemon that knows nothing yet does not wait for others: after a restart of all there is nobody to wait for.
+        const bool wanted = !followed.feed.known() || Fleet::shouldRead(place, age, active, better, m_rules);
         if (wanted != active) {
             logInfo(wanted ? "store-reading" : "store-reading-ended",
                     {{"topic", std::string(name)}, {"place", textOf(static_cast<std::int64_t>(place))}, {"age-ms", textOf(static_cast<std::int64_t>(age.count))}});
@@ -341,6 +336,7 @@
     if (ready()) {
         view->entries.push_back({.host = m_settings.host, .domain = m_settings.domain, .address = Config::toString(m_settings.front)});
     }
+    view->servingDaemons = m_peers.members().serving().size();
     view->daemons = 1;
     for (const auto &it : m_peers.members().others()) {
         ++view->daemons;
--- a/src/entry/nodeview.h
+++ b/src/entry/nodeview.h
@@ -31,6 +31,8 @@
     std::vector<EntryAddress> entries;
     /// Daemons that share budgets with this one, itself included.
     std::size_t daemons = 1;
+    /// Those of them that live.
+    std::size_t servingDaemons = 1;
     bool draining = false;
 
     bool ready() const
--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -31,7 +31,9 @@
 constexpr Millis callerWay = 8_ms;
 constexpr Millis notReadyRetryAfter = 200_ms;
 // Part of the upstreams' probe allowance that is spent: daemons come and go while it is shared out.
-constexpr double probeShare = 0.8;
+constexpr double probeShare = 0.9;
+// Probes that a calm time saves up for a burst, in seconds of their rate: the allowance is a mean over a long time.
+constexpr double probeBurstSeconds = 10;
 constexpr std::uint64_t directoryBodyBytes = 65536;
 
 std::chrono::microseconds toTimer(Millis span)
@@ -132,6 +134,7 @@
     , m_directory(loop,
                   {.onRequest = [this](const Http::Request &request, const Http::Responder &responder, std::uint64_t) { directory(request, responder); },
                    .onLeft = [](std::uint64_t) {}})
+    , m_probeTokens(0, 0)
     , m_housekeeping(loop)
     , m_random(XXH3_64bits(settings.host.data(), settings.host.size()))
 {
@@ -184,36 +187,43 @@
                            .headerTimeout = limits.headerTimeout,
                            .idleTimeout = limits.idleTimeout});
     }
+    refreshProbeRate();
     for (auto &[name, service] : m_services) {
         const auto specs = byService.find(name);
         service->dispatcher.setUpstreams(specs == byService.end() ? std::vector<Placement::UpstreamSpec>() : specs->second);
-        service->dispatcher.configure(optionsOf(service->dispatcher.upstreams()));
+        service->dispatcher.configure(options());
     }
 }
 
 void Traffic::setBounds(const NodeBounds &bounds)
 {
     m_settings.bounds = bounds;
+    refreshProbeRate();
     for (auto &[name, service] : m_services) {
-        service->dispatcher.configure(optionsOf(service->dispatcher.upstreams()));
+        service->dispatcher.configure(options());
     }
 }
 
-Placement::PlacementOptions Traffic::optionsOf(std::size_t upstreams) const
+Placement::PlacementOptions Traffic::options() const
 {
     const auto daemons = std::max<std::size_t>(1, m_view->daemons);
     const auto &bounds = m_settings.bounds;
     return {.domain = m_settings.domain,
-            .retries = {.ratio = bounds.retryRatio, .slack = bounds.retrySlack, .window = bounds.retryWindow, .daemons = daemons},
-            .probesPerSecond = probeShare * bounds.probesPerSecond * static_cast<double>(std::max<std::size_t>(1, upstreams))
-                / static_cast<double>(daemons)};
+            .retries = {.ratio = bounds.retryRatio, .slack = bounds.retrySlack, .window = bounds.retryWindow, .daemons = daemons}};
+}
+
+void Traffic::refreshProbeRate()
+{
+    const auto allowed = m_settings.bounds.probesPerSecond * static_cast<double>(std::max<std::size_t>(1, m_view->upstreams.size()));
+    const auto rate = probeShare * allowed / static_cast<double>(std::max<std::size_t>(1, m_view->servingDaemons));
+    m_probeTokens.setRate(rate, rate * probeBurstSeconds);
 }
 
 Traffic::Service &Traffic::serviceOf(const std::string &name)
 {
     auto &service = m_services[name];
     if (!service) {
-        service = std::make_unique<Service>(m_loop, optionsOf(1), m_random());
+        service = std::make_unique<Service>(m_loop, options(), m_probeTokens, m_random());
         service->name = name;
     }
     return *service;
--- a/src/entry/traffic.h
+++ b/src/entry/traffic.h
@@ -92,8 +92,8 @@
 private:
     struct Service
     {
-        explicit Service(boost::asio::io_context &loop, const Placement::PlacementOptions &options, std::uint64_t seed)
-            : dispatcher(options, seed)
+        explicit Service(boost::asio::io_context &loop, const Placement::PlacementOptions &options, Retry::TokenBucket &probeTokens, std::uint64_t seed)
+            : dispatcher(options, probeTokens, seed)
             , timer(loop)
         {
         }
@@ -144,7 +144,8 @@
     void directory(const Http::Request &request, const Http::Responder &responder) const;
     void readiness(const Http::Request &request, const Http::Responder &responder) const;
     Service &serviceOf(const std::string &name);
-    Placement::PlacementOptions optionsOf(std::size_t upstreams) const;
+    Placement::PlacementOptions options() const;
+    void refreshProbeRate();
     Upstream &upstreamOf(std::string_view id, const Membership::Address &address);
     void run(Service &service, const Dispatch::Actions &actions);
     void arm(Service &service);
@@ -168,6 +169,8 @@
     Http::Listener m_front;
     Http::Listener m_readiness;
     Http::Listener m_directory;
+    /// Probes that this daemon may send; shared by all services.
+    Retry::TokenBucket m_probeTokens;
     std::map<std::string, std::unique_ptr<Service>, std::less<>> m_services;
     std::map<std::string, Upstream, std::less<>> m_upstreams;
     CallMap m_calls;
