--- /dev/null
+++ b/bench/model/placementplay.h
@@ -0,0 +1,114 @@
+#ifndef LABURNUMMAST_MODEL_PLACEMENTPLAY_H
+#define LABURNUMMAST_MODEL_PLACEMENTPLAY_H
+
+#include "core/millis.h"
+
+#include <array>
+#include <cstdint>
+#include <string_view>
+#include <vector>
+
+namespace Laburnummast::Model
+{
+
+/// How calls find their upstreams in a play.
+enum class PlacementPolicy : std::uint8_t {
+    /// The project's own: load asked at the moment of choice.
+    Asking,
+    /// Any upstream.
+    Random,
+    /// The upstream with the fewest of this daemon's own calls.
+    LeastOwn,
+    /// One queue that knows every slot and speed at once.
+    Central,
+};
+
+constexpr std::array<std::string_view, 4> placementPolicyNames{"asking", "random", "least-own", "central"};
+
+constexpr std::string_view nameOf(PlacementPolicy policy)
+{
+    return placementPolicyNames[static_cast<std::size_t>(policy)];
+}
+
+/// One kind of call.
+struct PlayedKind
+{
+    std::string_view name;
+    double perSecond = 100;
+    Millis meanWork{90};
+    Millis objective{250};
+    Millis deadline{800};
+    bool idempotent = true;
+    int rank = 0;
+};
+
+/// A load that grows by `factor` between two moments; for one kind, or for all with -1.
+struct PlayedBurst
+{
+    Millis from;
+    Millis to;
+    double factor = 1;
+    int kind = -1;
+};
+
+/// A fleet whose upstreams change their speed several times a second and slow down when full.
+struct PlayOptions
+{
+    PlacementPolicy policy = PlacementPolicy::Asking;
+    std::uint64_t seed = 1;
+    int daemons = 19;
+    int upstreams = 33;
+    int slots = 3;
+    int queue = 6;
+    bool tellsLoad = true;
+    /// Share of upstreams that are slow at a moment, how slow, and how long a moment lasts.
+    double slowShare = 0.25;
+    double slowFactor = 5;
+    Millis speedLasts{150};
+    /// From this share of its slots on an upstream slows down, up to 1 + `kneeFactor` when full.
+    double knee = 0.8;
+    double kneeFactor = 1.7;
+    Millis network{0.5};
+    Millis length{20000};
+    Millis warmUp{4000};
+    double probesPerSecond = 60;
+    std::vector<PlayedKind> kinds;
+    std::vector<PlayedBurst> bursts;
+    /// Upstreams that break this share of their answers, from the first one on.
+    int grey = 0;
+    double greyShare = 0.5;
+};
+
+struct PlayedKindResult
+{
+    int asked = 0;
+    int inTime = 0;
+    int late = 0;
+    int refused = 0;
+    int failed = 0;
+};
+
+struct PlayResult
+{
+    std::vector<PlayedKindResult> kinds;
+    /// The same, only for calls that began during a burst.
+    std::vector<PlayedKindResult> inBurst;
+    std::uint64_t probes = 0;
+    std::uint64_t extraAttempts = 0;
+    /// Calls that may run once and ran twice, and calls refused as not run that had run.
+    int ranTwice = 0;
+    int refusedButRan = 0;
+
+    /// Share of all calls that were answered in time.
+    double inTimeShare(bool burst) const;
+};
+
+PlayResult play(const PlayOptions &options);
+
+/// The two sites' fleets at their busiest, a burst of the most urgent kind in the middle.
+PlayOptions siciliaBurst();
+PlayOptions papelBurst();
+
+}
+
+#endif
--- /dev/null
+++ b/bench/placement.cpp
@@ -0,0 +1,97 @@
+// bench-placement: plays fleets whose upstreams change their speed many times a second, with each way to place calls.
+
+#include "core/text.h"
+#include "model/placementplay.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <absl/strings/str_format.h>
+#include <iostream>
+
+ABSL_FLAG(int, seeds, 3, "seeds from 1 on, summed");
+ABSL_FLAG(std::string, play, "sicilia", "sicilia or papel");
+ABSL_FLAG(int, daemons, 0, "daemons; 0 keeps those of the play");
+ABSL_FLAG(int, upstreams, 0, "upstreams; 0 keeps those of the play");
+ABSL_FLAG(int, slots, 0, "slots of each upstream; 0 keeps those of the play");
+ABSL_FLAG(int, grey, 0, "upstreams that break half of their answers");
+ABSL_FLAG(bool, tells_load, true, "whether upstreams tell their load");
+ABSL_FLAG(double, knee, 0.8, "share of slots from which on upstreams slow down");
+ABSL_FLAG(double, load, 1, "factor on the rates of all kinds");
+
+namespace
+{
+
+using namespace Laburnummast;
+using namespace Laburnummast::Model;
+
+PlayOptions optionsOfFlags()
+{
+    auto options = absl::GetFlag(FLAGS_play) == "papel" ? papelBurst() : siciliaBurst();
+    options.daemons = absl::GetFlag(FLAGS_daemons) > 0 ? absl::GetFlag(FLAGS_daemons) : options.daemons;
+    options.upstreams = absl::GetFlag(FLAGS_upstreams) > 0 ? absl::GetFlag(FLAGS_upstreams) : options.upstreams;
+    options.slots = absl::GetFlag(FLAGS_slots) > 0 ? absl::GetFlag(FLAGS_slots) : options.slots;
+    options.grey = absl::GetFlag(FLAGS_grey);
+    options.tellsLoad = absl::GetFlag(FLAGS_tells_load);
+    options.knee = absl::GetFlag(FLAGS_knee);
+    for (auto &it : options.kinds) {
+        it.perSecond *= absl::GetFlag(FLAGS_load);
+    }
+    return options;
+}
+
+void add(PlayedKindResult &sum, const PlayedKindResult &one)
+{
+    sum.asked += one.asked;
+    sum.inTime += one.inTime;
+    sum.late += one.late;
+    sum.refused += one.refused;
+    sum.failed += one.failed;
+}
+
+void printKind(std::string_view policy, std::string_view kind, std::string_view when, const PlayedKindResult &it)
+{
+    const double all = std::max(1, it.asked) / 100.0;
+    std::cout << absl::StrFormat("%-10s %-8s %-6s %7d %6.1f %6.1f %6.1f %6.1f\n",
+                                 std::string(policy),
+                                 std::string(kind),
+                                 std::string(when),
+                                 it.asked,
+                                 it.inTime / all,
+                                 it.late / all,
+                                 it.refused / all,
+                                 it.failed / all);
+}
+
+}
+
+int main(int argc, char **argv)
+{
+    absl::SetProgramUsageMessage("bench-placement: in time, late, refused and failed calls in percent, for each way to place them");
+    absl::ParseCommandLine(argc, argv);
+    std::cout << "policy     kind     when     asked   time   late refused failed\n";
+    for (const auto policy : {PlacementPolicy::Central, PlacementPolicy::Asking, PlacementPolicy::LeastOwn, PlacementPolicy::Random}) {
+        auto options = optionsOfFlags();
+        options.policy = policy;
+        std::vector<PlayedKindResult> all(options.kinds.size());
+        std::vector<PlayedKindResult> burst(options.kinds.size());
+        std::uint64_t probes = 0;
+        std::uint64_t extras = 0;
+        for (int seed = 1; seed <= absl::GetFlag(FLAGS_seeds); ++seed) {
+            options.seed = static_cast<std::uint64_t>(seed);
+            const auto result = play(options);
+            for (std::size_t i = 0; i < all.size(); ++i) {
+                add(all[i], result.kinds[i]);
+                add(burst[i], result.inBurst[i]);
+            }
+            probes += result.probes;
+            extras += result.extraAttempts;
+        }
+        for (std::size_t i = 0; i < all.size(); ++i) {
+            printKind(nameOf(policy), options.kinds[i].name, "all", all[i]);
+            printKind(nameOf(policy), options.kinds[i].name, "burst", burst[i]);
+        }
+        std::cout << absl::StrFormat("%-10s probes %d, extra attempts %d\n", std::string(nameOf(policy)), probes, extras);
+    }
+    return 0;
+}
