Probes kept within their allowance; old word counts little where calls come fast

Change: empty bucket at the start, 0.85 of the allowance; reports count for 6 ms; two questions at first while probes are scarce; with none left, 100 ms old word (1 s before); no hedges under pressure; held calls ask two upstreams every 5 ms.

--- a/bench/model/placementplay.cpp
+++ b/bench/model/placementplay.cpp
@@ -108,7 +108,7 @@
         const double rate = 0.9 * m_options.probesPerSecond * m_options.upstreams / m_options.daemons;
         for (int i = 0; i < m_options.daemons; ++i) {
             auto &tokens = m_tokens[static_cast<std::size_t>(i)];
-            tokens.setRate(rate, rate * 10);
+            tokens.setRate(rate, rate * 5);
             m_dispatchers.push_back(std::make_unique<Placement::ServiceDispatcher>(placement, tokens, m_options.seed * 1000 + static_cast<std::uint64_t>(i)));
             m_dispatchers.back()->setUpstreams(specs);
         }
--- a/src/core/placement/placementoptions.h
+++ b/src/core/placement/placementoptions.h
@@ -17,15 +17,17 @@
     Retry::SharedRetryBudgetOptions retries;
     /// Upstreams asked at first, and again where none of them suits.
     std::size_t askFirst = 4;
-    std::size_t askMore = 6;
+    /// The same while the allowance of probes runs low.
+    std::size_t askScarce = 2;
+    std::size_t askMore = 4;
     /// Upstreams asked each time for all calls that wait.
-    std::size_t askHeld = 3;
+    std::size_t askHeld = 2;
     /// A load heard of within this time is as good as a new one.
     Millis freshFor{6};
     /// Answers to probes are waited for no longer: a few network round trips within a region.
     Millis roundTime{8};
     /// Pause before a waiting call asks again: about a tenth of the time of a call.
-    Millis askAgain{10};
+    Millis askAgain{5};
     /// Share of the retry budget that hedges leave to retries.
     double hedgeReserve = 0.4;
 };
--- a/src/core/placement/servicedispatcher.cpp
+++ b/src/core/placement/servicedispatcher.cpp
@@ -30,8 +30,10 @@
 // Weight of one search in the share of searches that find no upstream with room, and the share that counts as pressure.
 constexpr double pressureWeight = 0.1;
 constexpr double highPressure = 0.3;
+// Below this share of the probes that may be saved up, fewer are asked at first.
+constexpr double scarceProbes = 0.3;
 // With no probe left to spend, what was heard within this time has to do.
-constexpr Millis staleButUsable = 1_s;
+constexpr Millis staleButUsable = 100_ms;
 // Probes without a word on load after which a service counts as one that tells none.
 constexpr int silentProbes = 6;
 // After a deadline the upstream's own last word is still waited for this long.
@@ -163,7 +165,7 @@
     call.rounds = 0;
     call.blind = false;
     call.asked.clear();
-    askSome(call, m_options.askFirst, now, actions);
+    askSome(call, m_probeTokens.share(now) > scarceProbes ? m_options.askFirst : m_options.askScarce, now, actions);
 }
 
 bool ServiceDispatcher::candidate(const Slot &slot, Millis now) const
@@ -217,7 +219,7 @@
 std::optional<ServiceDispatcher::Choice> ServiceDispatcher::best(const Open &call, Millis now) const
 {
     // What was asked in an earlier round of this search still counts in the next one.
-    const auto freshFor = call.blind ? staleButUsable : m_options.freshFor + m_options.roundTime * 2;
+    const auto freshFor = call.blind ? staleButUsable : m_options.freshFor;
     std::optional<Choice> choice;
     double lowest = 0;
     for (UpstreamId id = 0; id < m_slots.size(); ++id) {
@@ -235,7 +237,7 @@
         const bool remote = view.spec().domain != m_options.domain;
         const auto distance = !remote ? 0_ms : call.spec.bulk ? remoteBulkCost : remoteCost;
         const double failures = view.failureRate(now);
-        const double cost = expected.count * (1 + failureCost * failures + 0.02 * view.occupied()) + distance.count;
+        const double cost = expected.count * (1 + failureCost * failures + 0.05 * view.occupied()) + distance.count;
         if (!choice || cost < lowest) {
             choice = Choice{.upstream = id, .expected = expected};
             lowest = cost;
@@ -565,7 +567,7 @@
             }
         } else if (it.search == Search::None && now >= it.hedgeAt) {
             it.hedgeAt = it.spec.deadline;
-            if (it.runs < it.spec.maxAttempts && m_budget.allows(now, m_options.hedgeReserve)) {
+            if (it.runs < it.spec.maxAttempts && m_pressure <= highPressure && m_budget.allows(now, m_options.hedgeReserve)) {
                 startSearch(it, Search::Hedge, now, actions);
             }
         }
--- a/src/core/retry/tokenbucket.h
+++ b/src/core/retry/tokenbucket.h
@@ -29,6 +29,13 @@
         return true;
     }
 
+    /// Share of the burst that is saved up.
+    double share(Millis now)
+    {
+        refill(now);
+        return m_burst > 0 ? m_tokens / m_burst : 0;
+    }
+
     /// Changes the rate; what was saved up stays, within the new burst.
     void setRate(double perSecond, double burst)
     {
--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -31,9 +31,9 @@
 constexpr Millis callerWay = 8_ms;
 constexpr Millis notReadyRetryAfter = 200_ms;
 // Part of the upstreams' probe allowance that is spent: daemons come and go while it is shared out.
-constexpr double probeShare = 0.9;
+constexpr double probeShare = 0.85;
 // Probes that a calm time saves up for a burst, in seconds of their rate: the allowance is a mean over a long time.
-constexpr double probeBurstSeconds = 10;
+constexpr double probeBurstSeconds = 5;
 constexpr std::uint64_t directoryBodyBytes = 65536;
 
 std::chrono::microseconds toTimer(Millis span)
@@ -134,6 +134,7 @@
     , m_directory(loop,
                   {.onRequest = [this](const Http::Request &request, const Http::Responder &responder, std::uint64_t) { directory(request, responder); },
                    .onLeft = [](std::uint64_t) {}})
+    // Empty at the start: after a restart of all daemons every bucket would be full at once.
     , m_probeTokens(0, 0)
     , m_housekeeping(loop)
     , m_random(XXH3_64bits(settings.host.data(), settings.host.size()))
