--- a/src/cli/command.h
+++ b/src/cli/command.h
@@ -43,6 +43,7 @@
 ExitCode showState(Arguments arguments);
 ExitCode drainHost(Arguments arguments);
 ExitCode reportUsage(Arguments arguments);
+ExitCode explainCall(Arguments arguments);
 
 }
 
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -18,7 +18,7 @@
 
 constexpr std::size_t anyCount = static_cast<std::size_t>(-1);
 
-constexpr std::array<Command, 9> commandTable{{
+constexpr std::array<Command, 10> commandTable{{
     {"check", "NOTE", "checks a release note's form without a daemon", 1, checkNote},
     {"plan", "DECLARATIONS", "writes the note that takes what is in force to the declarations (--daemon, --id, --author)", 1, planNote},
     {"publish",
@@ -36,6 +36,7 @@
      "use by owner: as the daemons hold it (--daemon), by day or verified from the log (--log)",
      anyCount,
      reportUsage},
+    {"explain", "ID", "reads daemons' logs from standard input and shows what led to the end of one call", 1, explainCall},
 }};
 
 std::string overview()
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -1,7 +1,7 @@
 // laburnummast-entry: the daemon on the platform's hosts.
 
 #include "core/config/address.h"
-#include "core/text.h"
+#include "entry/admin.h"
 #include "entry/node.h"
 #include "platform/settings.h"
 #include "process/files.h"
@@ -57,6 +57,10 @@
         Process::stopLog();
         return exitNoAddress;
     }
+    Admin admin(node);
+    if (const auto failure = admin.start(internalAddress(settings, InternalPort::Admin))) {
+        Process::logWarning("metrics-address-not-had", {{"address", Config::toString(*failure)}});
+    }
     Process::logInfo("started", {{"front", Config::toString(settings.front)}, {"domain", settings.domain}});
     while (true) {
         const auto signal = Process::waitForSignal(signalStep);
@@ -75,6 +79,7 @@
     }
     Process::logInfo("draining");
     const bool whole = node.drain();
+    admin.stop();
     node.stop();
     Process::logInfo("stopped", {{"cut", whole ? "no" : "yes"}});
     Process::stopLog();
--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -126,7 +126,7 @@
     return ask(m_trafficLoop, [this] { return m_traffic->counters(); });
 }
 
-Routing::LatencyHistogram Node::latencies()
+LatencyTotals Node::latencies()
 {
     return ask(m_trafficLoop, [this] { return m_traffic->latencies(); });
 }
--- a/src/entry/node.h
+++ b/src/entry/node.h
@@ -35,7 +35,7 @@
     void stop();
 
     TrafficCounters trafficCounters();
-    Routing::LatencyHistogram latencies();
+    LatencyTotals latencies();
     ControlState controlState();
     std::string dump();
 
--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -652,7 +652,8 @@
 
 TrafficCounters Traffic::counters() const
 {
-    TrafficCounters counters{.ended = m_ended, .connectionsOpened = m_opened, .connectionsReused = m_reused};
+    TrafficCounters counters{
+        .ended = m_ended, .connectionsOpened = m_opened, .connectionsReused = m_reused, .linesLeftOut = m_log.leftOut()};
     for (const auto &[id, it] : m_upstreams) {
         counters.connectionsOpened += it.pool->counters().opened;
         counters.connectionsReused += it.pool->counters().reused;
--- a/src/entry/traffic.h
+++ b/src/entry/traffic.h
@@ -2,9 +2,9 @@
 #define LABURNUMMAST_ENTRY_TRAFFIC_H
 
 #include "core/placement/servicedispatcher.h"
-#include "core/routing/latencyhistogram.h"
 #include "entry/call.h"
 #include "entry/decisionlog.h"
+#include "entry/latencytotals.h"
 #include "entry/nodesettings.h"
 #include "entry/nodeview.h"
 #include "entry/peerreport.h"
@@ -52,6 +52,7 @@
     std::array<std::uint64_t, callEndCount> ended{};
     std::uint64_t connectionsOpened = 0;
     std::uint64_t connectionsReused = 0;
+    std::uint64_t linesLeftOut = 0;
     Placement::PlacementCounters placement;
 };
 
@@ -82,7 +83,7 @@
         return m_calls.empty() && !m_front.anyBusy();
     }
     TrafficCounters counters() const;
-    const Routing::LatencyHistogram &latencies() const
+    const LatencyTotals &latencies() const
     {
         return m_latencies;
     }
@@ -180,7 +181,7 @@
     CallMap m_calls;
     ReturnEstimate m_returns;
     boost::asio::steady_timer m_housekeeping;
-    Routing::LatencyHistogram m_latencies;
+    LatencyTotals m_latencies;
     DecisionLog m_log;
     mutable std::mt19937_64 m_random;
     std::array<std::uint64_t, callEndCount> m_ended{};
--- /dev/null
+++ b/tests/cli/logtrail.cpp
@@ -0,0 +1,49 @@
+#include "cli/logtrail.h"
+
+#include <doctest/doctest.h>
+
+using namespace Laburnummast::Cli;
+
+namespace
+{
+
+std::string line(int second, const std::string &process, const std::string &rest)
+{
+    return "  12.0 " + process + " time=2026-01-01T00:00:0" + std::to_string(second) + ".000000 level=info process=" + process
+        + " event=" + rest;
+}
+
+const std::vector<std::string> logs{
+    line(5, "host-2", "call id=other upstream=u9 end=answered"),
+    line(4, "host-1", "call id=c1 end=unknown status=502 upstream=u1 reason=connection-lost"),
+    line(4, "host-1", "attempt-failed id=c1 upstream=u1 error=connection-lost load=1+0/3x100@2ms"),
+    line(1, "host-1", "routes-in-force version=3"),
+    line(2, "host-1", "routes-in-force version=4"),
+    line(3, "host-1", "upstream upstream=u1 state=ready"),
+    line(3, "host-1", "upstream upstream=u2 state=ready"),
+    line(6, "host-1", "routes-in-force version=5"),
+    "no line of ours",
+};
+
+}
+
+TEST_CASE("A call's trail holds its own lines and what its daemon last believed before")
+{
+    const auto trail = trailOf("c1", logs);
+    REQUIRE(trail.size() == 4);
+    CHECK(trail[0].find("routes-in-force version=4") != std::string::npos);
+    CHECK(trail[1].find("upstream=u1 state=ready") != std::string::npos);
+    CHECK(trail[2].find("event=call id=c1") != std::string::npos);
+    CHECK(trail[3].find("attempt-failed id=c1") != std::string::npos);
+}
+
+TEST_CASE("A call that no line names has no trail")
+{
+    CHECK(trailOf("c2", logs).empty());
+}
+
+TEST_CASE("Quoted and empty fields are read")
+{
+    CHECK(fieldOf("a b=\"x y\" c=", "b") == "x y");
+    CHECK(fieldOf("a b=1", "c") == std::nullopt);
+}
