Near upstreams while there is room everywhere; plain reports less often, failures at once

Change: half of the questions go near, near wins among equals while pressure is below 0.05; reports of daemons that read nothing each 600 ms instead of 250 ms, failures after 100 ms.

--- a/src/core/placement/servicedispatcher.cpp
+++ b/src/core/placement/servicedispatcher.cpp
@@ -18,8 +18,8 @@
 // What one failure costs, in times of a call: it has to be made again.
 constexpr double failureCost = 6;
 // What another failure domain costs in time, for plain and for bulk calls.
-constexpr Millis remoteCost = 1_ms;
-constexpr Millis remoteBulkCost = 15_ms;
+constexpr Millis remoteCost = 6_ms;
+constexpr Millis remoteBulkCost = 40_ms;
 // A hedge goes out once a call takes this factor on the usual time.
 constexpr double hedgeFactor = 1.6;
 constexpr int maxRounds = 2;
@@ -30,6 +30,8 @@
 // Weight of one search in the share of searches that find no upstream with room, and the share that counts as pressure.
 constexpr double pressureWeight = 0.1;
 constexpr double highPressure = 0.3;
+// Below this share there is room everywhere, and distance may count.
+constexpr double lowPressure = 0.05;
 // Below this share of the probes that may be saved up, fewer are asked at first.
 constexpr double scarceProbes = 0.3;
 // With no probe left to spend, what was heard within this time has to do.
@@ -188,10 +190,13 @@
         }
     }
     std::shuffle(order.begin(), order.end(), m_random);
-    if (call.spec.bulk) {
-        std::stable_partition(
-            order.begin(), order.end(), [&](UpstreamId id) { return m_slots[id].view.spec().domain == m_options.domain; });
-    }
+    // Bulk calls ask the own failure domain first, others ask it for half: a near upstream that suits is as good as a far one.
+    // Where room is scarce all are asked alike, or the daemons of one domain would crowd its upstreams.
+    const auto nearWanted = call.spec.bulk ? order.size() : m_pressure <= lowPressure ? count / 2 : 0;
+    std::size_t nearFound = 0;
+    std::stable_partition(order.begin(), order.end(), [&](UpstreamId id) {
+        return m_slots[id].view.spec().domain == m_options.domain && nearFound++ < nearWanted;
+    });
     for (const auto id : order) {
         if (count == 0) {
             break;
@@ -237,7 +242,7 @@
         }
         const auto expected = m_speeds.expected(view.placement(now));
         const bool remote = view.spec().domain != m_options.domain;
-        const auto distance = !remote ? 0_ms : call.spec.bulk ? remoteBulkCost : remoteCost;
+        const auto distance = !remote || m_pressure > lowPressure ? 0_ms : call.spec.bulk ? remoteBulkCost : remoteCost;
         const double failures = view.failureRate(now);
         const double cost = expected.count * (1 + failureCost * failures + 0.05 * view.occupied()) + distance.count;
         if (!choice || cost < lowest) {
--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -19,8 +19,11 @@
 using Process::logInfo;
 using Process::logWarning;
 
-constexpr std::chrono::milliseconds tickEvery(50);
-constexpr Millis reportEvery = 250_ms;
+constexpr std::chrono::milliseconds tickEvery(100);
+// A reader's word keeps others from reading; plain reports carry outcomes, of which failures do not wait.
+constexpr Millis readerReportEvery = 250_ms;
+constexpr Millis plainReportEvery = 600_ms;
+constexpr Millis failureReportEvery = 100_ms;
 // Without any word for this long the store counts as away: longer than a change of readers takes.
 constexpr Millis awayAfter = 3_s;
 
@@ -145,7 +148,7 @@
         auto &followed = of(topic);
         const auto name = topic == Topic::Routes ? Platform::routesTopic() : Platform::upstreamsTopic();
         const auto age = now - followed.contactAt.value_or(m_startedAt);
-        const bool better = followed.betterReaderAt && now - *followed.betterReaderAt <= reportEvery * 3;
+        const bool better = followed.betterReaderAt && now - *followed.betterReaderAt <= readerReportEvery * 3;
         const auto place = Fleet::readerPlace(name, names, m_settings.host);
         const bool active = followed.follower->active();
         // A daemon that knows nothing yet does not wait for others: after a restart of all there is nobody to wait for.
@@ -171,10 +174,9 @@
     if (m_upstreams.tick(now)) {
         changed();
     }
-    if (now >= m_nextReport) {
-        m_nextReport = now + reportEvery;
-        // Every daemon has to hear of a reader; plain reports may go to some.
-        const bool reads = std::any_of(m_topics.begin(), m_topics.end(), [](const auto &it) { return it->follower->active(); });
+    // Every daemon has to hear of a reader; plain reports may go to some.
+    const bool reads = std::any_of(m_topics.begin(), m_topics.end(), [](const auto &it) { return it->follower->active(); });
+    if (now - m_reportedAt >= reportInterval(reads)) {
         sendReport(reads);
     }
     m_timer.expires_after(tickEvery);
@@ -185,9 +187,16 @@
     });
 }
 
+Millis Control::reportInterval(bool reads) const
+{
+    const bool failures = std::any_of(m_outcomes.begin(), m_outcomes.end(), [](const auto &it) { return it.second.bad > 0; });
+    return failures ? failureReportEvery : reads ? readerReportEvery : plainReportEvery;
+}
+
 void Control::sendReport(bool toAll)
 {
     const auto now = Process::steadyNow();
+    m_reportedAt = now;
     PeerReport report{.host = m_settings.host,
                       .ip = m_settings.ip,
                       .feedPort = internalAddress(m_settings, InternalPort::Members).port,
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -105,6 +105,7 @@
     void reported(const PeerReport &report);
     void records(Topic topic, const Feed::FeedDelta &delta);
     void sendReport(bool toAll);
+    Millis reportInterval(bool reads) const;
     void tick();
     void changed();
     void publish();
@@ -122,7 +123,7 @@
     std::map<std::string, UpstreamOutcome> m_outcomes;
     boost::asio::steady_timer m_timer;
     Millis m_startedAt;
-    Millis m_nextReport{};
+    Millis m_reportedAt{};
     bool m_draining = false;
     bool m_stopped = false;
     bool m_publishing = false;
