--- a/src/core/placement/placementoptions.h
+++ b/src/core/placement/placementoptions.h
@@ -26,7 +26,7 @@
     Millis freshFor{6};
     /// Answers to probes are waited for no longer: a few network round trips within a region.
     Millis roundTime{8};
-    /// Pause before a waiting call asks again: about a tenth of the time of a call.
+    /// Pause before the waiting calls ask again: a small part of the time of a call.
     Millis askAgain{5};
     /// Share of the retry budget that hedges leave to retries.
     double hedgeReserve = 0.4;
--- a/src/core/placement/servicedispatcher.cpp
+++ b/src/core/placement/servicedispatcher.cpp
@@ -181,6 +181,7 @@
     ++call.rounds;
     call.pressureNoted = false;
     call.roundEnds = now + (m_tellsLoad ? m_options.roundTime : 0_ms);
+    call.nextAt = call.roundEnds;
     std::vector<UpstreamId> order;
     for (UpstreamId id = 0; id < m_slots.size(); ++id) {
         const bool known = std::find(call.tried.begin(), call.tried.end(), id) != call.tried.end();
@@ -322,8 +323,11 @@
     if (now >= holdLimit(call)) {
         return giveUp(call, now, actions);
     }
-    if (now >= call.roundEnds + m_options.askAgain) {
+    const auto askAt = call.roundEnds + m_options.askAgain;
+    if (now >= askAt) {
         askForHeld(call, now, actions);
+    } else {
+        call.nextAt = std::min(askAt, holdLimit(call));
     }
     return false;
 }
@@ -591,7 +595,7 @@
     case Search::First:
     case Search::Retry:
     case Search::Hedge:
-        return std::min(last, call.rounds < maxRounds ? call.roundEnds : call.roundEnds + m_options.askAgain);
+        return std::min(last, call.nextAt);
     }
     return last;
 }
--- a/src/core/placement/servicedispatcher.h
+++ b/src/core/placement/servicedispatcher.h
@@ -159,6 +159,8 @@
         Millis searchSince;
         int rounds = 0;
         Millis roundEnds;
+        /// When the search goes on by itself.
+        Millis nextAt;
         std::vector<UpstreamId> asked;
         std::vector<UpstreamId> tried;
         std::vector<Attempt> active;
