--- a/src/core/placement/servicedispatcher.cpp
+++ b/src/core/placement/servicedispatcher.cpp
@@ -17,6 +17,8 @@
 constexpr double goodFailureRate = 0.2;
 // What one failure costs, in times of a call: it has to be made again.
 constexpr double failureCost = 6;
+// What each call that is already there costs: others may be on their way to the same upstream.
+constexpr double companyCost = 0.05;
 // What another failure domain costs in time, for plain and for bulk calls.
 constexpr Millis remoteCost = 6_ms;
 constexpr Millis remoteBulkCost = 40_ms;
@@ -164,7 +166,6 @@
 void ServiceDispatcher::startSearch(Open &call, Search search, Millis now, Actions &actions)
 {
     call.search = search;
-    call.searchSince = now;
     call.rounds = 0;
     call.blind = false;
     call.asked.clear();
@@ -213,7 +214,6 @@
             break;
         }
         slot.probing = true;
-        slot.probedAt = now;
         ++m_counters.probes;
         actions.emplace_back(Dispatch::ProbeUpstream{.upstream = id});
     }
@@ -226,7 +226,6 @@
 
 std::optional<ServiceDispatcher::Choice> ServiceDispatcher::best(const Open &call, Millis now) const
 {
-    // What was asked in an earlier round of this search still counts in the next one.
     const auto freshFor = call.blind ? staleButUsable : m_options.freshFor;
     std::optional<Choice> choice;
     double lowest = 0;
@@ -245,7 +244,7 @@
         const bool remote = view.spec().domain != m_options.domain;
         const auto distance = !remote || m_pressure > lowPressure ? 0_ms : call.spec.bulk ? remoteBulkCost : remoteCost;
         const double failures = view.failureRate(now);
-        const double cost = expected.count * (1 + failureCost * failures + 0.05 * view.occupied()) + distance.count;
+        const double cost = expected.count * (1 + failureCost * failures + companyCost * view.occupied()) + distance.count;
         if (!choice || cost < lowest) {
             choice = Choice{.upstream = id, .expected = expected};
             lowest = cost;
--- a/src/core/placement/servicedispatcher.h
+++ b/src/core/placement/servicedispatcher.h
@@ -130,7 +130,6 @@
         UpstreamView view;
         bool present = true;
         bool probing = false;
-        Millis probedAt{-1};
         std::uint32_t good = 0;
         std::uint32_t bad = 0;
     };
@@ -156,7 +155,6 @@
         CallSpec spec;
         Millis arrived;
         Search search = Search::First;
-        Millis searchSince;
         int rounds = 0;
         Millis roundEnds;
         /// When the search goes on by itself.
--- a/tests/fleet/readerchoice.cpp
+++ b/tests/fleet/readerchoice.cpp
@@ -10,6 +10,7 @@
 TEST_CASE("Exactly one daemon comes first for a topic")
 {
     std::vector<std::string> daemons;
+    daemons.reserve(19);
     for (int i = 0; i < 19; ++i) {
         daemons.push_back("host-" + std::to_string(i));
     }
--- a/tests/http/exchange.cpp
+++ b/tests/http/exchange.cpp
@@ -25,7 +25,7 @@
 // A listener that answers as it is told, on a loop that the test runs by hand.
 struct Server
 {
-    explicit Server(std::function<void(Request, Responder)> answer)
+    explicit Server(const std::function<void(Request, Responder)> &answer)
         : listener(loop,
                    {.onRequest =
                         [this, answer](Request request, const Responder &responder, std::uint64_t id) {
--- a/tests/placement/servicedispatcher.cpp
+++ b/tests/placement/servicedispatcher.cpp
@@ -12,7 +12,7 @@
 // One dispatcher with its actions, fed by hand.
 struct Bench
 {
-    explicit Bench(std::size_t upstreams, PlacementOptions options = {.domain = "a"})
+    explicit Bench(std::size_t upstreams, const PlacementOptions &options = {.domain = "a"})
         : dispatcher(options, tokens, 1)
     {
         for (std::size_t i = 0; i < upstreams; ++i) {
@@ -286,6 +286,7 @@
     Bench bench(4);
     for (int round = 0; round < 1000; ++round) {
         std::vector<UpstreamSpec> specs;
+        specs.reserve(4);
         for (int i = 0; i < 4; ++i) {
             specs.push_back({.id = std::to_string(round) + "-" + std::to_string(i), .domain = "a", .slots = 3});
         }
--- a/tests/platform/fakeworker.h
+++ b/tests/platform/fakeworker.h
@@ -33,8 +33,7 @@
     };
 
     FakeWorker(boost::asio::io_context &loop, std::string id)
-        : m_loop(loop)
-        , m_id(std::move(id))
+        : m_id(std::move(id))
         , m_listener(
               loop,
               {.onRequest
@@ -113,7 +112,6 @@
         }
     }
 
-    boost::asio::io_context &m_loop;
     std::string m_id;
     Http::Listener m_listener;
 };
