--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -64,6 +64,17 @@
                         "ms");
 }
 
+// What a refusal was decided by.
+std::string describe(const Placement::ServiceDispatcher &dispatcher)
+{
+    return Text::concat("pressure=",
+                        dispatcher.pressure(),
+                        ",typical-ms=",
+                        static_cast<std::int64_t>(dispatcher.speeds().typical().count),
+                        ",upstreams=",
+                        dispatcher.upstreams());
+}
+
 AttemptOutcome outcomeOf(Http::ClientError error)
 {
     switch (error) {
@@ -465,6 +476,7 @@
         return;
     }
     found->second.lastError = Dispatch::nameOf(action.reason);
+    found->second.why = describe(found->second.service->dispatcher);
     end(found, CallEnd::NotRun, Platform::notRunResponse(found->second.call.id, action.retryAfter));
 }
 
@@ -523,7 +535,8 @@
                 {"attempts", Text::concat(call.sent)},
                 {"upstream", call.lastUpstream},
                 {"load", call.lastKnown},
-                {"reason", call.lastError}});
+                {"reason", call.lastError},
+                {"why", call.why}});
 }
 
 void Traffic::cancelAttempt(const Dispatch::CancelAttempt &action)
--- a/src/entry/traffic.h
+++ b/src/entry/traffic.h
@@ -138,6 +138,8 @@
         std::string lastUpstream;
         std::string lastKnown;
         std::string lastError;
+        /// Inputs of a refusal.
+        std::string why;
         int sent = 0;
     };
 
