Refuse lengths beyond the bytes of a peer's message before allocating for them

Cause: cereal's archive allocates what a length field names; a datagram of 20 bytes could ask a daemon for any amount of memory, and a records answer that ended a string with std::bad_alloc was not caught (only cereal's exceptions were). Change: one bounded input archive, of the same wire format, for reports, records, membership and the daemons' own frames. Conclusion: the decoders of the entry daemon's peers are bounded; coverage guided fuzzing is not built.

--- /dev/null
+++ b/src/core/boundedarchive.h
@@ -0,0 +1,112 @@
+#ifndef LABURNUMMAST_CORE_BOUNDEDARCHIVE_H
+#define LABURNUMMAST_CORE_BOUNDEDARCHIVE_H
+
+#include <bit>
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/cereal.hpp>
+#include <cstdint>
+#include <cstring>
+#include <string_view>
+#include <utility>
+
+namespace Laburnummast
+{
+
+/// Reads what cereal's portable binary archive wrote, from bytes that another host sent.
+///
+/// A length beyond the bytes that are left throws before anything is allocated for it; cereal's own archive would allocate first.
+class BoundedInputArchive : public cereal::InputArchive<BoundedInputArchive, cereal::AllowEmptyClassElision>
+{
+public:
+    explicit BoundedInputArchive(std::string_view bytes)
+        : cereal::InputArchive<BoundedInputArchive, cereal::AllowEmptyClassElision>(this)
+        , m_left(bytes)
+    {
+        std::uint8_t little = 0;
+        take(&little, sizeof(little));
+        m_swaps = (little != 0) != (std::endian::native == std::endian::little);
+    }
+
+    bool atEnd() const
+    {
+        return m_left.empty();
+    }
+
+    /// Reads `size` bytes that hold values of `width` bytes each.
+    void take(void *data, std::size_t size, std::size_t width = 1)
+    {
+        expect(size);
+        std::memcpy(data, m_left.data(), size);
+        m_left.remove_prefix(size);
+        if (m_swaps && width > 1) {
+            auto *bytes = static_cast<std::uint8_t *>(data);
+            for (std::size_t i = 0; i + width <= size; i += width) {
+                for (std::size_t k = 0; k < width / 2; ++k) {
+                    std::swap(bytes[i + k], bytes[i + width - 1 - k]);
+                }
+            }
+        }
+    }
+
+    /// Every element takes a byte at least, so more elements than bytes cannot follow.
+    void expect(std::uint64_t size) const
+    {
+        if (size > m_left.size()) {
+            throw cereal::Exception("length beyond the end");
+        }
+    }
+
+private:
+    std::string_view m_left;
+    bool m_swaps = false;
+};
+
+}
+
+namespace cereal
+{
+
+namespace traits::detail
+{
+
+// What wrote the bytes; cereal asks for it when a type is saved in a simpler form.
+template <>
+struct get_output_from_input<Laburnummast::BoundedInputArchive>
+{
+    using type = PortableBinaryOutputArchive;
+};
+
+}
+
+template <class T>
+inline typename std::enable_if<std::is_arithmetic<T>::value, void>::type
+CEREAL_LOAD_FUNCTION_NAME(Laburnummast::BoundedInputArchive &archive, T &value)
+{
+    archive.take(&value, sizeof(T), sizeof(T));
+}
+
+template <class T>
+inline void CEREAL_SERIALIZE_FUNCTION_NAME(Laburnummast::BoundedInputArchive &archive, SizeTag<T> &size)
+{
+    archive(size.size);
+    archive.expect(size.size);
+}
+
+template <class T>
+inline void CEREAL_SERIALIZE_FUNCTION_NAME(Laburnummast::BoundedInputArchive &archive, NameValuePair<T> &pair)
+{
+    archive(pair.value);
+}
+
+template <class T>
+inline void CEREAL_LOAD_FUNCTION_NAME(Laburnummast::BoundedInputArchive &archive, BinaryData<T> &data)
+{
+    using Value = typename std::remove_pointer<T>::type;
+    archive.take(data.data, static_cast<std::size_t>(data.size), sizeof(Value));
+}
+
+}
+
+CEREAL_REGISTER_ARCHIVE(Laburnummast::BoundedInputArchive)
+
+#endif
--- a/src/core/membership/message.cpp
+++ b/src/core/membership/message.cpp
@@ -1,5 +1,6 @@
 #include "core/membership/message.h"
 
+#include "core/boundedarchive.h"
 #include "core/keyedhash.h"
 
 #include <algorithm>
@@ -79,8 +80,7 @@
         return MessageError::Forged;
     }
     try {
-        std::istringstream stream{std::string(body)};
-        cereal::PortableBinaryInputArchive archive(stream);
+        BoundedInputArchive archive(body);
         std::uint8_t format = 0;
         archive(format);
         if (format != messageFormat) {
--- a/src/entry/peerlink.cpp
+++ b/src/entry/peerlink.cpp
@@ -1,5 +1,6 @@
 #include "entry/peerlink.h"
 
+#include "core/boundedarchive.h"
 #include "core/text.h"
 #include "process/wallclock.h"
 
@@ -236,10 +237,9 @@
                                return;
                            }
                            poolOf(peer).giveBack(connection);
-                           // The archive throws on bytes that end early; that is its only way to say so.
+                           // The archive throws on bytes that end early or name lengths beyond them; that is its only way to say so.
                            try {
-                               std::istringstream stream(response->body);
-                               cereal::PortableBinaryInputArchive archive(stream);
+                               BoundedInputArchive archive(response->body);
                                Feed::FeedDelta delta;
                                archive(delta);
                                m_events.onRecords(topic, delta);
--- a/src/entry/peerreport.cpp
+++ b/src/entry/peerreport.cpp
@@ -1,5 +1,7 @@
 #include "entry/peerreport.h"
 
+#include "core/boundedarchive.h"
+
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/array.hpp>
 #include <cereal/types/string.hpp>
@@ -43,8 +45,7 @@
     }
     // The archive throws on bytes that end early or name lengths beyond them; that is its only way to say so.
     try {
-        std::istringstream stream{std::string(bytes)};
-        cereal::PortableBinaryInputArchive archive(stream);
+        BoundedInputArchive archive(bytes);
         std::uint8_t format = 0;
         archive(format);
         if (format != reportFormat) {
@@ -52,7 +53,7 @@
         }
         PeerReport report;
         archive(report.host, report.ip, report.feedPort, report.feeds, report.findings.outcomes);
-        if (stream.peek() != std::istringstream::traits_type::eof()) {
+        if (!archive.atEnd()) {
             archive(report.findings.crowding);
         }
         return report;
--- a/src/net/peermessage.cpp
+++ b/src/net/peermessage.cpp
@@ -1,5 +1,6 @@
 #include "net/peermessage.h"
 
+#include "core/boundedarchive.h"
 #include "core/keyedhash.h"
 #include "core/text.h"
 
@@ -49,8 +50,7 @@
         return PeerError::Forged;
     }
     try {
-        std::istringstream stream{std::string(body)};
-        cereal::PortableBinaryInputArchive archive(stream);
+        BoundedInputArchive archive(body);
         std::uint8_t format = 0;
         archive(format);
         if (format != frameFormat) {
