Split the set of known upstreams from the service dispatcher

Cause: the dispatcher's file kept ids, sharing out and outcomes besides its decisions (719 lines). Change: core/placement/upstreamset holds them; no behaviour changes.

--- a/src/core/placement/servicedispatcher.cpp
+++ b/src/core/placement/servicedispatcher.cpp
@@ -1,7 +1,5 @@
 #include "core/placement/servicedispatcher.h"
 
-#include "core/placement/upstreamshares.h"
-
 #include <algorithm>
 #include <cmath>
 
@@ -67,78 +65,18 @@
 {
     m_options = options;
     m_budget.configure(options.retries);
-    shareOut();
+    m_upstreams.shareOut(options.daemons, options.place);
 }
 
 void ServiceDispatcher::setUpstreams(std::span<const UpstreamSpec> specs)
 {
-    for (auto &it : m_slots) {
-        it.present = false;
-    }
-    for (const auto &spec : specs) {
-        const auto known = m_ids.find(spec.id);
-        if (known == m_ids.end()) {
-            addSlot(spec);
-        } else {
-            m_slots[known->second].view.update(spec);
-            m_slots[known->second].present = true;
-        }
-    }
-    m_present = specs.size();
-    freeAbsentSlots();
-    shareOut();
-}
-
-void ServiceDispatcher::shareOut()
-{
-    std::vector<std::string> domains;
-    std::vector<Slot *> slots;
-    for (const auto &[name, id] : m_ids) {
-        if (m_slots[id].present) {
-            domains.push_back(m_slots[id].view.spec().domain);
-            slots.push_back(&m_slots[id]);
-        }
-    }
-    const auto preferred = preferredUpstreams(domains, m_options.daemons, m_options.place);
-    for (std::size_t i = 0; i < slots.size(); ++i) {
-        slots[i]->own = preferred[i];
-    }
-}
-
-void ServiceDispatcher::addSlot(const UpstreamSpec &spec)
-{
-    UpstreamId id = static_cast<UpstreamId>(m_slots.size());
-    if (m_free.empty()) {
-        m_slots.push_back({.view = UpstreamView(spec)});
-    } else {
-        id = m_free.back();
-        m_free.pop_back();
-        m_slots[id] = {.view = UpstreamView(spec)};
-    }
-    m_ids.emplace(spec.id, id);
-}
-
-void ServiceDispatcher::freeAbsentSlots()
-{
-    std::erase_if(m_ids, [&](const auto &it) {
-        const auto &slot = m_slots[it.second];
-        const bool unused = !slot.present && !slot.probing && slot.view.inFlight() == 0;
-        if (unused) {
-            m_free.push_back(it.second);
-        }
-        return unused;
-    });
+    m_upstreams.update(specs);
+    m_upstreams.shareOut(m_options.daemons, m_options.place);
 }
 
 const UpstreamView *ServiceDispatcher::view(UpstreamId upstream) const
 {
-    return upstream < m_slots.size() ? &m_slots[upstream].view : nullptr;
-}
-
-std::optional<UpstreamId> ServiceDispatcher::idOf(std::string_view name) const
-{
-    const auto it = m_ids.find(name);
-    return it == m_ids.end() ? std::nullopt : std::optional(it->second);
+    return upstream < m_upstreams.size() ? &m_upstreams[upstream].view : nullptr;
 }
 
 std::size_t ServiceDispatcher::waiting() const
@@ -147,28 +85,6 @@
         m_calls.begin(), m_calls.end(), [](const auto &it) { return it.second.search == Search::First && it.second.rounds >= maxRounds; }));
 }
 
-std::vector<OutcomeCount> ServiceDispatcher::takeOutcomes()
-{
-    std::vector<OutcomeCount> outcomes;
-    for (auto &it : m_slots) {
-        if (it.good + it.bad > 0) {
-            outcomes.push_back({.upstream = it.view.spec().id, .good = it.good, .bad = it.bad});
-            it.good = 0;
-            it.bad = 0;
-        }
-    }
-    return outcomes;
-}
-
-void ServiceDispatcher::noteOthers(std::span<const OutcomeCount> outcomes, Millis now)
-{
-    for (const auto &it : outcomes) {
-        if (const auto id = idOf(it.upstream)) {
-            m_slots[*id].view.noteOthers(it.good, it.bad, now);
-        }
-    }
-}
-
 void ServiceDispatcher::submit(const CallSpec &spec, Millis now, Actions &actions)
 {
     ++m_counters.calls;
@@ -176,7 +92,7 @@
     auto &call = m_calls[spec.id];
     call.spec = spec;
     call.arrived = now;
-    if (m_present == 0) {
+    if (m_upstreams.present() == 0) {
         ++m_counters.refused;
         actions.emplace_back(
             Dispatch::RefuseCall{.call = spec.id, .reason = RefusalReason::NoUpstream, .retryAfter = retryAfter(call, now)});
@@ -198,9 +114,9 @@
     askSome(call, m_probeTokens.share(now) > scarceProbes ? m_options.askFirst : m_options.askScarce, now, actions);
 }
 
-bool ServiceDispatcher::candidate(const Slot &slot, Millis now) const
+bool ServiceDispatcher::candidate(const KnownUpstream &known, Millis now) const
 {
-    return slot.present && !slot.view.leftAlone(now);
+    return known.present && !known.view.leftAlone(now);
 }
 
 void ServiceDispatcher::askSome(Open &call, std::size_t count, Millis now, Actions &actions)
@@ -210,10 +126,10 @@
     call.roundEnds = now + m_options.roundTime;
     call.nextAt = call.roundEnds;
     std::vector<UpstreamId> order;
-    for (UpstreamId id = 0; id < m_slots.size(); ++id) {
-        const bool known = std::find(call.tried.begin(), call.tried.end(), id) != call.tried.end();
+    for (UpstreamId id = 0; id < m_upstreams.size(); ++id) {
+        const bool tried = std::find(call.tried.begin(), call.tried.end(), id) != call.tried.end();
         const bool asked = std::find(call.asked.begin(), call.asked.end(), id) != call.asked.end();
-        if (candidate(m_slots[id], now) && !known && !asked) {
+        if (candidate(m_upstreams[id], now) && !tried && !asked) {
             order.push_back(id);
         }
     }
@@ -222,28 +138,28 @@
     // Where room is scarce all are asked alike, or the daemons of one domain would crowd its upstreams.
     const auto nearWanted = call.spec.bulk ? order.size() : m_pressure <= lowPressure ? count / 2 : 0;
     if (true) {
-        std::stable_partition(order.begin(), order.end(), [&](UpstreamId id) { return m_slots[id].own; });
+        std::stable_partition(order.begin(), order.end(), [&](UpstreamId id) { return m_upstreams[id].own; });
     }
     std::size_t nearFound = 0;
     std::stable_partition(order.begin(), order.end(), [&](UpstreamId id) {
-        return m_slots[id].view.spec().domain == m_options.domain && nearFound++ < nearWanted;
+        return m_upstreams[id].view.spec().domain == m_options.domain && nearFound++ < nearWanted;
     });
     for (const auto id : order) {
         if (count == 0) {
             break;
         }
-        auto &slot = m_slots[id];
+        auto &known = m_upstreams[id];
         --count;
         call.asked.push_back(id);
-        if (slot.probing || slot.view.hasFresh(now, m_options.freshFor)) {
+        if (known.probing || known.view.hasFresh(now, m_options.freshFor)) {
             continue;
         }
         if (!m_probeTokens.take(1, now)) {
             call.blind = true;
             continue;
         }
-        slot.probing = true;
-        slot.probedAt = now;
+        known.probing = true;
+        known.probedAt = now;
         ++m_counters.probes;
         actions.emplace_back(Dispatch::ProbeUpstream{.upstream = id});
     }
@@ -251,18 +167,18 @@
 
 bool ServiceDispatcher::roundOver(const Open &call, Millis now) const
 {
-    return now >= call.roundEnds || std::none_of(call.asked.begin(), call.asked.end(), [&](UpstreamId id) { return m_slots[id].probing; });
+    return now >= call.roundEnds || std::none_of(call.asked.begin(), call.asked.end(), [&](UpstreamId id) { return m_upstreams[id].probing; });
 }
 
 std::optional<ServiceDispatcher::Choice> ServiceDispatcher::best(const Open &call, Millis now) const
 {
     std::optional<Choice> choice;
     double lowest = 0;
-    for (UpstreamId id = 0; id < m_slots.size(); ++id) {
-        const auto &slot = m_slots[id];
-        const auto &view = slot.view;
+    for (UpstreamId id = 0; id < m_upstreams.size(); ++id) {
+        const auto &known = m_upstreams[id];
+        const auto &view = known.view;
         const auto freshFor = call.blind ? staleButUsable : m_options.freshFor;
-        if (!candidate(slot, now) || !view.hasFresh(now, freshFor) || std::find(call.tried.begin(), call.tried.end(), id) != call.tried.end()) {
+        if (!candidate(known, now) || !view.hasFresh(now, freshFor) || std::find(call.tried.begin(), call.tried.end(), id) != call.tried.end()) {
             continue;
         }
         if (view.occupied() + 1 > view.slots() + maxQueued) {
@@ -272,7 +188,7 @@
         const bool remote = view.spec().domain != m_options.domain;
         const auto distance = !remote || m_pressure > lowPressure ? 0_ms : call.spec.bulk ? remoteBulkCost : remoteCost;
         const double failures = view.failureRate(now);
-        const double foreign = slot.own ? 1 : foreignCost;
+        const double foreign = known.own ? 1 : foreignCost;
         const double cost = foreign * expected.count * (1 + failureCost * failures + companyCost * view.occupied()) + distance.count;
         if (!choice || cost < lowest) {
             choice = Choice{.upstream = id, .expected = expected};
@@ -284,14 +200,14 @@
 
 bool ServiceDispatcher::isGood(const Open &call, const Choice &choice, Millis now) const
 {
-    const auto &view = m_slots[choice.upstream].view;
+    const auto &view = m_upstreams[choice.upstream].view;
     return m_speeds.gains(view.occupied(), view.slots()) && view.slowness(now) <= goodSlowness && view.failureRate(now) <= goodFailureRate
         && now + choice.expected <= call.spec.deadline;
 }
 
 bool ServiceDispatcher::isAcceptable(const Open &call, const Choice &choice, Millis now) const
 {
-    const auto &view = m_slots[choice.upstream].view;
+    const auto &view = m_upstreams[choice.upstream].view;
     if (call.search == Search::Hedge || !m_speeds.gains(view.occupied(), view.slots())) {
         return false;
     }
@@ -305,9 +221,9 @@
         return std::nullopt;
     }
     std::optional<Choice> choice;
-    for (UpstreamId id = 0; id < m_slots.size(); ++id) {
-        const auto &view = m_slots[id].view;
-        if (candidate(m_slots[id], now) && view.hasFresh(now, m_options.freshFor) && view.hasSlot() && view.slowness(now) <= goodSlowness
+    for (UpstreamId id = 0; id < m_upstreams.size(); ++id) {
+        const auto &view = m_upstreams[id].view;
+        if (candidate(m_upstreams[id], now) && view.hasFresh(now, m_options.freshFor) && view.hasSlot() && view.slowness(now) <= goodSlowness
             && view.failureRate(now) <= goodFailureRate) {
             choice = Choice{.upstream = id, .expected = m_speeds.expected(view.placement(now))};
             break;
@@ -325,9 +241,9 @@
 {
     std::optional<Choice> choice;
     for (const auto id : call.asked) {
-        const auto &view = m_slots[id].view;
+        const auto &view = m_upstreams[id].view;
         const bool room = view.inFlight() < view.slots();
-        if (candidate(m_slots[id], now) && room && (!choice || view.inFlight() < m_slots[choice->upstream].view.inFlight())) {
+        if (candidate(m_upstreams[id], now) && room && (!choice || view.inFlight() < m_upstreams[choice->upstream].view.inFlight())) {
             choice = Choice{.upstream = id, .expected = m_speeds.typical()};
         }
     }
@@ -360,7 +276,7 @@
     const auto choice = best(call, now);
     const bool good = choice && isGood(call, *choice, now);
     // Who tells no load shows a free slot by serving the probe at once: the first of the preferred ones is taken.
-    const bool atOnce = good && !m_tellsLoad && m_slots[choice->upstream].own;
+    const bool atOnce = good && !m_tellsLoad && m_upstreams[choice->upstream].own;
     if (!atOnce && !roundOver(call, now)) {
         return false;
     }
@@ -430,7 +346,7 @@
 
 void ServiceDispatcher::send(Open &call, const Choice &choice, Millis now, Actions &actions)
 {
-    auto &view = m_slots[choice.upstream].view;
+    auto &view = m_upstreams[choice.upstream].view;
     const bool hedge = call.search == Search::Hedge;
     if (call.search != Search::First) {
         m_budget.noteExtra(now);
@@ -487,36 +403,36 @@
 
 void ServiceDispatcher::probeEnded(UpstreamId upstream, const ProbeResult &result, Millis now, Actions &actions)
 {
-    if (upstream >= m_slots.size()) {
+    if (upstream >= m_upstreams.size()) {
         return;
     }
-    auto &slot = m_slots[upstream];
-    slot.probing = false;
-    learnFromProbe(slot, result, now);
+    auto &known = m_upstreams[upstream];
+    known.probing = false;
+    learnFromProbe(known, result, now);
     advanceWaiting(now, actions);
 }
 
-void ServiceDispatcher::learnFromProbe(Slot &slot, const ProbeResult &result, Millis now)
+void ServiceDispatcher::learnFromProbe(KnownUpstream &known, const ProbeResult &result, Millis now)
 {
     if (!result.answered || result.stranger) {
-        slot.view.noteSilent(now);
+        known.view.noteSilent(now);
         return;
     }
     if (result.load) {
-        slot.view.noteReport(*result.load, now);
+        known.view.noteReport(*result.load, now);
         m_silentOnLoad = 0;
         m_tellsLoad = true;
     } else {
         m_silentOnLoad = std::min(m_silentOnLoad + 1, silentProbes);
         m_tellsLoad = m_silentOnLoad < silentProbes;
         if (!result.refused) {
-            slot.view.noteProbeServed(now - slot.probedAt, now);
+            known.view.noteProbeServed(now - known.probedAt, now);
         }
     }
     if (result.healthy) {
-        slot.view.noteHealthy();
+        known.view.noteHealthy();
     } else {
-        slot.view.noteUnhealthy(now);
+        known.view.noteUnhealthy(now);
     }
 }
 
@@ -552,18 +468,18 @@
     }
     const auto evidence = evidenceOf(*attempt, outcome);
     const bool good = evidence == Evidence::Good;
-    auto &slot = m_slots[attempt->upstream];
-    slot.view.noteEnded(evidence, now);
-    slot.good += good ? 1 : 0;
-    slot.bad += evidence == Evidence::Bad ? 1 : 0;
+    auto &known = m_upstreams[attempt->upstream];
+    known.view.noteEnded(evidence, now);
+    known.good += good ? 1 : 0;
+    known.bad += evidence == Evidence::Bad ? 1 : 0;
     if (load) {
-        slot.view.noteReport(*load, now);
+        known.view.noteReport(*load, now);
     }
     if (outcome == AttemptOutcome::NotSent) {
-        slot.view.noteSilent(now);
+        known.view.noteSilent(now);
     }
     if (good && m_tellsLoad) {
-        m_speeds.learn(attempt->placed, slot.view.occupied() / slot.view.slots(), now - attempt->sentAt);
+        m_speeds.learn(attempt->placed, known.view.occupied() / known.view.slots(), now - attempt->sentAt);
     } else if (good) {
         m_speeds.learnUntold(now - attempt->sentAt);
     }
@@ -636,7 +552,7 @@
 {
     for (const auto &it : call.active) {
         if (it.number != except) {
-            m_slots[it.upstream].view.noteEnded(Evidence::None, now);
+            m_upstreams[it.upstream].view.noteEnded(Evidence::None, now);
             actions.emplace_back(Dispatch::CancelAttempt{.call = call.spec.id, .attempt = it.number, .upstream = it.upstream});
         }
     }
@@ -663,8 +579,8 @@
         return false;
     }
     for (const auto &it : call.active) {
-        ++m_slots[it.upstream].bad;
-        m_slots[it.upstream].view.noteOthers(0, 1, now);
+        ++m_upstreams[it.upstream].bad;
+        m_upstreams[it.upstream].view.noteOthers(0, 1, now);
     }
     call.mayHaveRun = true;
     cancelOthers(call, std::nullopt, now, actions);
--- a/src/core/placement/servicedispatcher.h
+++ b/src/core/placement/servicedispatcher.h
@@ -6,7 +6,7 @@
 #include "core/placement/loadreport.h"
 #include "core/placement/placementoptions.h"
 #include "core/placement/speedmodel.h"
-#include "core/placement/upstreamview.h"
+#include "core/placement/upstreamset.h"
 #include "core/retry/sharedretrybudget.h"
 #include "core/retry/tokenbucket.h"
 
@@ -26,7 +26,6 @@
 using Dispatch::AttemptNumber;
 using Dispatch::AttemptOutcome;
 using Dispatch::CallId;
-using Dispatch::UpstreamId;
 
 /// A call as the dispatcher needs to know it.
 struct CallSpec
@@ -58,14 +57,6 @@
     std::uint64_t heldBack = 0;
 };
 
-/// Outcomes on one upstream since they were last taken, for the other daemons.
-struct OutcomeCount
-{
-    std::string upstream;
-    std::uint32_t good = 0;
-    std::uint32_t bad = 0;
-};
-
 /// Chooses upstreams for the calls of one service on one daemon.
 ///
 /// Speed and load of upstreams change within milliseconds, so a few are asked for theirs at the moment of choice.
@@ -88,7 +79,10 @@
         CallId call, AttemptNumber attempt, AttemptOutcome outcome, const std::optional<LoadReport> &load, Millis now, Actions &actions);
     /// Nobody waits for the call any more.
     void cancel(CallId call, Millis now, Actions &actions);
-    void noteOthers(std::span<const OutcomeCount> outcomes, Millis now);
+    void noteOthers(std::span<const OutcomeCount> outcomes, Millis now)
+    {
+        m_upstreams.noteOthers(outcomes, now);
+    }
     /// Carries out what is due.
     void tick(Millis now, Actions &actions);
     /// When `tick` is due next; nothing if no call is open.
@@ -96,8 +90,14 @@
 
     /// Views by upstream id; an id stays valid while calls or probes are on their way there.
     const UpstreamView *view(UpstreamId upstream) const;
-    std::optional<UpstreamId> idOf(std::string_view name) const;
-    std::vector<OutcomeCount> takeOutcomes();
+    std::optional<UpstreamId> idOf(std::string_view name) const
+    {
+        return m_upstreams.idOf(name);
+    }
+    std::vector<OutcomeCount> takeOutcomes()
+    {
+        return m_upstreams.takeOutcomes();
+    }
     const PlacementCounters &counters() const
     {
         return m_counters;
@@ -109,7 +109,7 @@
     std::size_t waiting() const;
     std::size_t upstreams() const
     {
-        return m_present;
+        return m_upstreams.present();
     }
     CrowdingSample takeCrowding()
     {
@@ -133,18 +133,6 @@
     }
 
 private:
-    struct Slot
-    {
-        UpstreamView view;
-        bool present = true;
-        /// Where no load is told, this daemon prefers it and the others do not: its own calls are nearly all that run there.
-        bool own = false;
-        bool probing = false;
-        Millis probedAt;
-        std::uint32_t good = 0;
-        std::uint32_t bad = 0;
-    };
-
     struct Attempt
     {
         AttemptNumber number = 0;
@@ -195,11 +183,7 @@
         Millis expected;
     };
 
-    void learnFromProbe(Slot &slot, const ProbeResult &result, Millis now);
-    /// Gives each daemon upstreams of its own.
-    void shareOut();
-    void addSlot(const UpstreamSpec &spec);
-    void freeAbsentSlots();
+    void learnFromProbe(KnownUpstream &known, const ProbeResult &result, Millis now);
     void startSearch(Open &call, Search search, Millis now, Actions &actions);
     void askSome(Open &call, std::size_t count, Millis now, Actions &actions);
     void askForHeld(Open &call, Millis now, Actions &actions);
@@ -230,17 +214,14 @@
     Millis hedgeTime(const Open &call, Millis now) const;
     Millis dueOf(const Open &call) const;
     void advanceWaiting(Millis now, Actions &actions);
-    bool candidate(const Slot &slot, Millis now) const;
+    bool candidate(const KnownUpstream &known, Millis now) const;
 
     PlacementOptions m_options;
     std::mt19937_64 m_random;
-    std::vector<Slot> m_slots;
-    std::map<std::string, UpstreamId, std::less<>> m_ids;
-    std::vector<UpstreamId> m_free;
+    UpstreamSet m_upstreams;
     std::map<CallId, Open> m_calls;
     Retry::SharedRetryBudget m_budget;
     Retry::TokenBucket &m_probeTokens;
-    std::size_t m_present = 0;
     SpeedModel m_speeds;
     /// Share of late searches that found no upstream with room.
     double m_pressure = 0;
