The command line reads the state of a daemon that runs on the platform

Cause: 'laburnummast state' speaks to laburnummastd only; the state page of an entry daemon had to be fetched by other means. Measured: run by hand against laburnummast-entry (text, JSON, 3 when nothing answers); tests/cli/entrystate.cpp.

--- a/src/cli/command.h
+++ b/src/cli/command.h
@@ -41,6 +41,7 @@
 ExitCode listServices(Arguments arguments);
 ExitCode showStatus(Arguments arguments);
 ExitCode showState(Arguments arguments);
+ExitCode showEntry(Arguments arguments);
 ExitCode drainHost(Arguments arguments);
 ExitCode reportUsage(Arguments arguments);
 ExitCode explainCall(Arguments arguments);
--- a/src/cli/hostcommands.cpp
+++ b/src/cli/hostcommands.cpp
@@ -1,6 +1,7 @@
 // Commands about hosts and services: services, status, state, drain.
 
 #include "cli/client.h"
+#include "cli/entrystate.h"
 #include "core/config/address.h"
 
 #include <absl/strings/str_format.h>
@@ -121,6 +122,25 @@
     return ExitCode::Ok;
 }
 
+ExitCode showEntry(Arguments)
+{
+    const auto address = daemonAddress();
+    if (!address) {
+        return ExitCode::Usage;
+    }
+    const auto answer = get(*address, "/state");
+    if (!answer) {
+        complain("the host did not answer");
+        return ExitCode::Unreachable;
+    }
+    if (wantsJson()) {
+        std::cout << entryStateAsJson(answer->body).dump(2) << "\n";
+    } else {
+        std::cout << answer->body;
+    }
+    return ExitCode::Ok;
+}
+
 ExitCode drainHost(Arguments arguments)
 {
     const auto key = operatorKey();
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -18,7 +18,7 @@
 
 constexpr std::size_t anyCount = static_cast<std::size_t>(-1);
 
-constexpr std::array<Command, 10> commandTable{{
+constexpr std::array<Command, 11> commandTable{{
     {"check", "NOTE", "checks a release note's form without a daemon", 1, checkNote},
     {"plan", "DECLARATIONS", "writes the note that takes what is in force to the declarations (--daemon, --id, --author)", 1, planNote},
     {"publish",
@@ -30,6 +30,7 @@
     {"services", "", "lists the services in force (--daemon)", 0, listServices},
     {"status", "", "shows every daemon's state and configuration (--daemon)", 0, showStatus},
     {"state", "HOST", "dumps one daemon's state as JSON (--daemon)", 1, showState},
+    {"entry", "", "shows the state of a daemon that runs on the platform (--daemon: its metrics address)", 0, showEntry},
     {"drain", "HOST", "drains a daemon, which then ends (--daemon, --key_file)", 1, drainHost},
     {"usage",
      "[live|report|verify]",
