Ask two upstreams at first while there is room everywhere

Change: two while hardly any search finds no room, four beyond; a second round asks four more as before.

--- a/src/core/placement/placementoptions.h
+++ b/src/core/placement/placementoptions.h
@@ -21,8 +21,8 @@
     std::size_t place = 0;
     /// Upstreams asked at first, and again where none of them suits.
     std::size_t askFirst = 4;
-    /// The same while the allowance of probes runs low.
-    std::size_t askScarce = 2;
+    /// The same while there is room everywhere or the allowance of probes runs low.
+    std::size_t askFew = 2;
     std::size_t askMore = 4;
     /// Upstreams asked each time for all calls that wait.
     std::size_t askHeld = 2;
--- a/src/core/placement/servicedispatcher.cpp
+++ b/src/core/placement/servicedispatcher.cpp
@@ -111,7 +111,9 @@
     call.rounds = 0;
     call.blind = false;
     call.asked.clear();
-    askSome(call, m_probeTokens.share(now) > scarceProbes ? m_options.askFirst : m_options.askScarce, now, actions);
+    // Where there is room everywhere two are enough, and where probes run low no more can be asked.
+    const bool few = m_pressure <= lowPressure || m_probeTokens.share(now) <= scarceProbes;
+    askSome(call, few ? m_options.askFew : m_options.askFirst, now, actions);
 }
 
 bool ServiceDispatcher::candidate(const KnownUpstream &known, Millis now) const
