Split the connections to upstreams from the traffic side; a kept id at a new address is followed

Cause: pools were kept by upstream id alone: one that started again elsewhere under its id would have been sought at its old address for as long as it was listed. Found by reading.

--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -21,8 +21,6 @@
 // Callers keep an entry list this long: short enough that a host which died is soon left out, some callers keep it thrice as long.
 constexpr Millis entryListAge = 1500_ms;
 constexpr Millis housekeepingEvery = 250_ms;
-// A connection to an upstream that nothing uses for this long is not worth a descriptor.
-constexpr Millis keepUpstreamIdle = 30_s;
 // A probe is given up after this; its answer would be worthless long before.
 constexpr Millis probeTimeout = 150_ms;
 // Beyond the deadline the upstream's own last word is still read for this long.
@@ -152,6 +150,7 @@
           {.onRequest
            = [this](const Http::Request &request, const Http::Responder &responder, std::uint64_t) { directory(request, responder); },
            .onLeft = [](std::uint64_t) {}})
+    , m_connections(loop)
     // Empty at the start: after a restart of all daemons every bucket would be full at once.
     , m_probeTokens(0, 0)
     , m_housekeeping(loop)
@@ -185,16 +184,17 @@
 void Traffic::setView(std::shared_ptr<const NodeView> view)
 {
     m_view = std::move(view);
-    m_addresses.clear();
+    UpstreamConnections::Addresses addresses;
     std::map<std::string, std::vector<Placement::UpstreamSpec>, std::less<>> byService;
     for (const auto &it : m_view->upstreams) {
-        m_addresses[it.record.id] = it.record.address;
+        addresses[it.record.id] = it.record.address;
         byService[it.record.service].push_back({.id = it.record.id,
                                                 .domain = it.record.domain,
                                                 .slots = it.record.slots,
                                                 .coldUntil = it.coldUntil,
                                                 .startedAt = it.record.startedAt});
     }
+    m_connections.setAddresses(std::move(addresses));
     if (m_view->routes) {
         for (const auto &[name, spec] : m_view->routes->services()) {
             serviceOf(name).healthPath = spec.healthPath;
@@ -257,25 +257,6 @@
     return *service;
 }
 
-Traffic::Upstream &Traffic::upstreamOf(std::string_view id, const Membership::Address &address)
-{
-    auto it = m_upstreams.find(id);
-    if (it == m_upstreams.end()) {
-        boost::system::error_code ec;
-        const boost::asio::ip::tcp::endpoint endpoint(boost::asio::ip::make_address(address.ip, ec), address.port);
-        it = m_upstreams
-                 .emplace(std::string(id), Upstream{.id = std::string(id), .pool = std::make_unique<Http::ClientPool>(m_loop, endpoint)})
-                 .first;
-    }
-    return it->second;
-}
-
-std::optional<Membership::Address> Traffic::addressOf(std::string_view upstream) const
-{
-    const auto it = m_addresses.find(std::string(upstream));
-    return it == m_addresses.end() ? std::nullopt : std::optional(it->second);
-}
-
 void Traffic::accept(Http::Request request, const Http::Responder &responder, std::uint64_t id)
 {
     const auto now = steadyNow();
@@ -366,34 +347,28 @@
 {
     const auto now = steadyNow();
     const auto id = service.dispatcher.view(action.upstream)->spec().id;
-    const auto address = addressOf(id);
+    const auto connection = m_connections.take(id, now);
     const auto ended = [this, &service, upstream = action.upstream](const Placement::ProbeResult &result) {
         Dispatch::Actions actions;
         service.dispatcher.probeEnded(upstream, result, steadyNow(), actions);
         run(service, actions);
     };
-    if (!address) {
+    if (!connection) {
         boost::asio::post(m_loop, [ended] { ended({}); });
         return;
     }
-    auto &upstream = upstreamOf(id, *address);
-    const auto connection = upstream.pool->take(now);
-    connection->start({.bytes = Http::encode(Platform::probeRequest(service.healthPath, address->ip)),
+    const auto &ip = m_connections.addressOf(id)->ip;
+    connection->start({.bytes = Http::encode(Platform::probeRequest(service.healthPath, ip)),
                        .timeout = probeTimeout,
                        .isOurs = Platform::answersProbe,
                        .onResult = [this, id, connection, ended](const Http::ClientResult &result) {
-                           const auto known = m_upstreams.find(id);
                            const auto *response = std::get_if<Http::Response>(&result);
                            if (!response) {
-                               if (known != m_upstreams.end()) {
-                                   known->second.pool->dropIdle();
-                               }
+                               m_connections.distrust(id);
                                ended({});
                                return;
                            }
-                           if (known != m_upstreams.end()) {
-                               known->second.pool->giveBack(connection);
-                           }
+                           m_connections.giveBack(id, connection);
                            ended(Platform::decodeProbe(*response, id));
                        }});
 }
@@ -408,7 +383,6 @@
     auto &live = found->second;
     const auto *view = service.dispatcher.view(action.upstream);
     const auto id = view->spec().id;
-    const auto address = addressOf(id);
     auto &attempt = live.attempts[action.attempt];
     attempt.upstream = id;
     attempt.sentAt = now;
@@ -416,18 +390,16 @@
     live.lastUpstream = id;
     live.lastKnown = attempt.known;
     ++live.sent;
-    if (!address) {
+    attempt.connection = m_connections.take(id, now);
+    if (!attempt.connection) {
         boost::asio::post(m_loop, [this, &service, call = action.call, number = action.attempt, id] {
             attemptEnded(service, call, number, id, Http::ClientError::CannotConnect);
         });
         return;
     }
-    attempt.connection = upstreamOf(id, *address).pool->take(now);
     const auto onResult
         = [this, &service, call = action.call, number = action.attempt, id, connection = attempt.connection](Http::ClientResult result) {
-              if (const auto known = m_upstreams.find(id); known != m_upstreams.end()) {
-                  known->second.pool->giveBack(connection);
-              }
+              m_connections.giveBack(id, connection);
               attemptEnded(service, call, number, id, std::move(result));
           };
     const auto left = live.spec.deadline - now;
@@ -441,7 +413,6 @@
 void Traffic::attemptEnded(
     Service &service, Dispatch::CallId id, Dispatch::AttemptNumber number, const std::string &upstream, Http::ClientResult result)
 {
-    const auto known = m_upstreams.find(upstream);
     const auto found = m_calls.find(id);
     auto *response = std::get_if<Http::Response>(&result);
     if (found == m_calls.end() || !found->second.attempts.contains(number)) {
@@ -462,8 +433,8 @@
         const auto error = std::get<Http::ClientError>(result);
         outcome = outcomeOf(error);
         live.lastError = Http::nameOf(error);
-        if (known != m_upstreams.end() && error != Http::ClientError::CannotConnect) {
-            known->second.pool->dropIdle();
+        if (error != Http::ClientError::CannotConnect) {
+            m_connections.distrust(upstream);
         }
     }
     if (outcome != AttemptOutcome::Answered) {
@@ -648,15 +619,7 @@
 {
     const auto now = steadyNow();
     handOverFindings();
-    std::erase_if(m_upstreams, [&](auto &it) {
-        it.second.pool->sweep(now, keepUpstreamIdle);
-        if (m_addresses.contains(it.first)) {
-            return false;
-        }
-        m_opened += it.second.pool->counters().opened;
-        m_reused += it.second.pool->counters().reused;
-        return true;
-    });
+    m_connections.sweep(now);
     m_housekeeping.expires_after(toTimer(housekeepingEvery));
     m_housekeeping.async_wait([this](const auto &ec) {
         if (!ec) {
@@ -685,12 +648,11 @@
 
 TrafficCounters Traffic::counters() const
 {
-    TrafficCounters counters{
-        .ended = m_ended, .connectionsOpened = m_opened, .connectionsReused = m_reused, .linesLeftOut = m_log.leftOut()};
-    for (const auto &[id, it] : m_upstreams) {
-        counters.connectionsOpened += it.pool->counters().opened;
-        counters.connectionsReused += it.pool->counters().reused;
-    }
+    const auto connections = m_connections.counters();
+    TrafficCounters counters{.ended = m_ended,
+                             .connectionsOpened = connections.opened,
+                             .connectionsReused = connections.reused,
+                             .linesLeftOut = m_log.leftOut()};
     for (const auto &[name, it] : m_services) {
         const auto &placed = it->dispatcher.counters();
         counters.placement.calls += placed.calls;
--- a/src/entry/traffic.h
+++ b/src/entry/traffic.h
@@ -9,7 +9,7 @@
 #include "entry/nodeview.h"
 #include "entry/peerreport.h"
 #include "entry/returnestimate.h"
-#include "http/clientpool.h"
+#include "entry/upstreamconnections.h"
 #include "http/listener.h"
 
 #include <array>
@@ -110,12 +110,6 @@
         std::optional<Millis> armedFor;
     };
 
-    struct Upstream
-    {
-        std::string id;
-        std::unique_ptr<Http::ClientPool> pool;
-    };
-
     struct LiveAttempt
     {
         std::shared_ptr<Http::ClientConnection> connection;
@@ -153,7 +147,6 @@
     Service &serviceOf(const std::string &name);
     Placement::PlacementOptions options() const;
     void refreshProbeRate();
-    Upstream &upstreamOf(std::string_view id, const Membership::Address &address);
     void run(Service &service, const Dispatch::Actions &actions);
     void arm(Service &service);
     void send(Service &service, const Dispatch::SendAttempt &action);
@@ -167,20 +160,18 @@
     void account(const LiveCall &call, CallEnd how, int status);
     void housekeeping();
     void handOverFindings();
-    std::optional<Membership::Address> addressOf(std::string_view upstream) const;
 
     boost::asio::io_context &m_loop;
     NodeSettings m_settings;
     OnFindings m_onFindings;
     std::shared_ptr<const NodeView> m_view;
-    std::unordered_map<std::string, Membership::Address> m_addresses;
     Http::Listener m_front;
     Http::Listener m_readiness;
     Http::Listener m_directory;
+    UpstreamConnections m_connections;
     /// Probes that this daemon may send; shared by all services.
     Retry::TokenBucket m_probeTokens;
     std::map<std::string, std::unique_ptr<Service>, std::less<>> m_services;
-    std::map<std::string, Upstream, std::less<>> m_upstreams;
     CallMap m_calls;
     ReturnEstimate m_returns;
     boost::asio::steady_timer m_housekeeping;
@@ -188,8 +179,6 @@
     DecisionLog m_log;
     mutable std::mt19937_64 m_random;
     std::array<std::uint64_t, callEndCount> m_ended{};
-    std::uint64_t m_opened = 0;
-    std::uint64_t m_reused = 0;
 };
 
 }
--- /dev/null
+++ b/src/entry/upstreamconnections.cpp
@@ -0,0 +1,96 @@
+#include "entry/upstreamconnections.h"
+
+namespace Laburnummast::Entry
+{
+namespace
+{
+
+// A connection to an upstream that nothing uses for this long is not worth a descriptor.
+constexpr Millis keepIdle = 30_s;
+
+}
+
+UpstreamConnections::UpstreamConnections(boost::asio::io_context &loop)
+    : m_loop(loop)
+{
+}
+
+void UpstreamConnections::setAddresses(Addresses addresses)
+{
+    m_addresses = std::move(addresses);
+}
+
+const Membership::Address *UpstreamConnections::addressOf(std::string_view upstream) const
+{
+    const auto it = m_addresses.find(upstream);
+    return it == m_addresses.end() ? nullptr : &it->second;
+}
+
+std::shared_ptr<Http::ClientConnection> UpstreamConnections::take(std::string_view upstream, Millis now)
+{
+    const auto *address = addressOf(upstream);
+    if (address == nullptr) {
+        return nullptr;
+    }
+    boost::system::error_code ec;
+    const boost::asio::ip::tcp::endpoint server(boost::asio::ip::make_address(address->ip, ec), address->port);
+    auto it = m_pools.find(upstream);
+    // An upstream that started again elsewhere may keep its id.
+    if (it != m_pools.end() && it->second->server() != server) {
+        retire(*it->second);
+        m_pools.erase(it);
+        it = m_pools.end();
+    }
+    if (it == m_pools.end()) {
+        it = m_pools.emplace(std::string(upstream), std::make_unique<Http::ClientPool>(m_loop, server)).first;
+    }
+    return it->second->take(now);
+}
+
+void UpstreamConnections::giveBack(std::string_view upstream, const std::shared_ptr<Http::ClientConnection> &connection)
+{
+    const auto it = m_pools.find(upstream);
+    if (it != m_pools.end()) {
+        it->second->giveBack(connection);
+    }
+}
+
+void UpstreamConnections::distrust(std::string_view upstream)
+{
+    const auto it = m_pools.find(upstream);
+    if (it != m_pools.end()) {
+        it->second->dropIdle();
+    }
+}
+
+void UpstreamConnections::sweep(Millis now)
+{
+    std::erase_if(m_pools, [&](const auto &it) {
+        it.second->sweep(now, keepIdle);
+        const bool gone = !m_addresses.contains(it.first);
+        if (gone) {
+            retire(*it.second);
+        }
+        return gone;
+    });
+}
+
+void UpstreamConnections::retire(const Http::ClientPool &pool)
+{
+    m_retired.opened += pool.counters().opened;
+    m_retired.reused += pool.counters().reused;
+    m_retired.dropped += pool.counters().dropped;
+}
+
+Http::ClientPoolCounters UpstreamConnections::counters() const
+{
+    auto sum = m_retired;
+    for (const auto &[upstream, it] : m_pools) {
+        sum.opened += it->counters().opened;
+        sum.reused += it->counters().reused;
+        sum.dropped += it->counters().dropped;
+    }
+    return sum;
+}
+
+}
--- a/src/http/clientconnection.h
+++ b/src/http/clientconnection.h
@@ -79,6 +79,10 @@
     {
         return m_idleSince;
     }
+    const boost::asio::ip::tcp::endpoint &server() const
+    {
+        return m_server;
+    }
     /// How long the server says it keeps an idle connection.
     Millis serverKeepsIdle() const
     {
--- a/src/http/clientpool.cpp
+++ b/src/http/clientpool.cpp
@@ -47,7 +47,7 @@
 
 void ClientPool::giveBack(const std::shared_ptr<ClientConnection> &connection)
 {
-    if (connection->usable()) {
+    if (connection->usable() && connection->server() == m_server) {
         m_idle.push_back(connection);
     }
 }
--- /dev/null
+++ b/tests/entry/upstreamconnections.cpp
@@ -0,0 +1,44 @@
+#include "entry/upstreamconnections.h"
+
+#include <doctest/doctest.h>
+
+using namespace Laburnummast;
+using namespace Laburnummast::Entry;
+
+TEST_CASE("No connection leads to an upstream that is not listed")
+{
+    boost::asio::io_context loop;
+    UpstreamConnections connections(loop);
+    CHECK(connections.take("u1", 0_ms) == nullptr);
+    CHECK(connections.addressOf("u1") == nullptr);
+}
+
+TEST_CASE("An upstream that started again elsewhere under its id is reached at its new address")
+{
+    boost::asio::io_context loop;
+    UpstreamConnections connections(loop);
+    connections.setAddresses({{"u1", {.ip = "127.0.0.1", .port = 4101}}});
+    const auto before = connections.take("u1", 0_ms);
+    REQUIRE(before != nullptr);
+    CHECK(before->server().port() == 4101);
+    connections.setAddresses({{"u1", {.ip = "127.0.0.1", .port = 4102}}});
+    const auto after = connections.take("u1", 1_ms);
+    REQUIRE(after != nullptr);
+    CHECK(after->server().port() == 4102);
+    // What was on its way to the old address does not come back among the new ones.
+    connections.giveBack("u1", before);
+    CHECK(connections.take("u1", 2_ms)->server().port() == 4102);
+    CHECK(connections.counters().opened == 3);
+}
+
+TEST_CASE("Connections of upstreams that are gone are closed and still counted")
+{
+    boost::asio::io_context loop;
+    UpstreamConnections connections(loop);
+    connections.setAddresses({{"u1", {.ip = "127.0.0.1", .port = 4101}}});
+    CHECK(connections.take("u1", 0_ms) != nullptr);
+    connections.setAddresses({});
+    connections.sweep(1_s);
+    CHECK(connections.take("u1", 1_s) == nullptr);
+    CHECK(connections.counters().opened == 1);
+}
