Readers of the store begin one after the other when the one before them goes

Change: the patience counts from when a better placed reader was last heard, and one that begins tells so at once.

--- a/bench/model/placementplay.cpp
+++ b/bench/model/placementplay.cpp
@@ -111,7 +111,8 @@
             specs.push_back({.id = std::to_string(i), .domain = "a", .slots = m_options.slots});
         }
         const auto daemons = static_cast<std::size_t>(m_options.daemons);
-        Placement::PlacementOptions placement{.domain = "a", .retries = {.daemons = daemons}, .daemons = std::vector<std::string>(daemons, "a")};
+        Placement::PlacementOptions placement{
+            .domain = "a", .retries = {.daemons = daemons}, .daemons = std::vector<std::string>(daemons, "a")};
         const double rate = 0.9 * m_options.probesPerSecond * m_options.upstreams / m_options.daemons;
         for (int i = 0; i < m_options.daemons; ++i) {
             placement.place = static_cast<std::size_t>(i);
--- a/src/core/fleet/readerchoice.cpp
+++ b/src/core/fleet/readerchoice.cpp
@@ -14,18 +14,25 @@
         daemons.begin(), daemons.end(), [&](const std::string &it) { return it != self && Routing::rendezvousScore(topic, it) > own; }));
 }
 
-bool shouldRead(std::size_t place, Millis contactAge, bool readsAlready, bool betterReads, const ReaderRules &rules)
+bool shouldRead(
+    std::size_t place, Millis contactAge, bool readsAlready, const std::optional<Millis> &betterSilence, const ReaderRules &rules)
 {
     const auto fresh = rules.wait + rules.staleAfter;
+    const bool betterReads = betterSilence && *betterSilence <= rules.lostAfter;
     if (readsAlready) {
         return !(betterReads && contactAge <= fresh);
     }
     if (place == 0) {
         return true;
     }
+    const auto turn = rules.step * static_cast<double>(place);
     // While a reader lives its word may be as old as a held read; without one there is nothing to wait for.
-    const auto patience = betterReads ? fresh : rules.staleAfter;
-    return contactAge > patience + rules.step * static_cast<double>(place);
+    if (betterReads) {
+        return contactAge > fresh + turn;
+    }
+    // The last word of a reader that went may be old already: counted from that word all would begin at once.
+    const bool ownTurn = betterSilence ? *betterSilence > rules.lostAfter + turn : contactAge > rules.staleAfter + turn;
+    return ownTurn && contactAge > rules.staleAfter;
 }
 
 }
--- a/src/core/fleet/readerchoice.h
+++ b/src/core/fleet/readerchoice.h
@@ -4,6 +4,7 @@
 #include "core/millis.h"
 
 #include <cstddef>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -17,8 +18,10 @@
     Millis wait{1000};
     /// A word this much older than that is stale.
     Millis staleAfter{400};
-    /// Each place in the order waits this much longer before it reads itself.
+    /// Each place in the order waits this much longer before it reads itself: enough for the word of the one before to arrive.
     Millis step{150};
+    /// A reader that is not heard of for this long is gone: three of its reports.
+    Millis lostAfter{750};
 };
 
 /// Place of `self` in the order in which daemons take over the reading of a topic; 0 reads first.
@@ -28,7 +31,9 @@
 ///
 /// One daemon reads and the others hear it from that one. Where its word grows stale the next in the order begins, so
 /// that a daemon which cannot reach the store, or its peers, is replaced within a second or two.
-bool shouldRead(std::size_t place, Millis contactAge, bool readsAlready, bool betterReads, const ReaderRules &rules);
+/// `betterSilence`: time since a daemon before this one in the order said that it reads; nothing if none ever did.
+bool shouldRead(
+    std::size_t place, Millis contactAge, bool readsAlready, const std::optional<Millis> &betterSilence, const ReaderRules &rules);
 
 }
 
--- a/src/core/placement/servicedispatcher.cpp
+++ b/src/core/placement/servicedispatcher.cpp
@@ -169,7 +169,8 @@
 
 bool ServiceDispatcher::roundOver(const Open &call, Millis now) const
 {
-    return now >= call.roundEnds || std::none_of(call.asked.begin(), call.asked.end(), [&](UpstreamId id) { return m_upstreams[id].probing; });
+    return now >= call.roundEnds
+        || std::none_of(call.asked.begin(), call.asked.end(), [&](UpstreamId id) { return m_upstreams[id].probing; });
 }
 
 std::optional<ServiceDispatcher::Choice> ServiceDispatcher::best(const Open &call, Millis now) const
@@ -180,7 +181,8 @@
         const auto &known = m_upstreams[id];
         const auto &view = known.view;
         const auto freshFor = call.blind ? staleButUsable : m_options.freshFor;
-        if (!candidate(known, now) || !view.hasFresh(now, freshFor) || std::find(call.tried.begin(), call.tried.end(), id) != call.tried.end()) {
+        if (!candidate(known, now) || !view.hasFresh(now, freshFor)
+            || std::find(call.tried.begin(), call.tried.end(), id) != call.tried.end()) {
             continue;
         }
         if (view.occupied() + 1 > view.slots() + maxQueued) {
@@ -225,8 +227,8 @@
     std::optional<Choice> choice;
     for (UpstreamId id = 0; id < m_upstreams.size(); ++id) {
         const auto &view = m_upstreams[id].view;
-        if (candidate(m_upstreams[id], now) && view.hasFresh(now, m_options.freshFor) && view.hasSlot() && view.slowness(now) <= goodSlowness
-            && view.failureRate(now) <= goodFailureRate) {
+        if (candidate(m_upstreams[id], now) && view.hasFresh(now, m_options.freshFor) && view.hasSlot()
+            && view.slowness(now) <= goodSlowness && view.failureRate(now) <= goodFailureRate) {
             choice = Choice{.upstream = id, .expected = m_speeds.expected(view.placement(now))};
             break;
         }
--- a/src/core/placement/upstreamshares.cpp
+++ b/src/core/placement/upstreamshares.cpp
@@ -47,7 +47,8 @@
 
 }
 
-std::vector<bool> preferredUpstreams(std::span<const std::string> upstreamDomains, std::span<const std::string> daemonDomains, std::size_t place)
+std::vector<bool>
+preferredUpstreams(std::span<const std::string> upstreamDomains, std::span<const std::string> daemonDomains, std::size_t place)
 {
     std::vector<bool> preferred(upstreamDomains.size(), false);
     if (upstreamDomains.empty() || place >= daemonDomains.size()) {
--- a/src/core/placement/upstreamshares.h
+++ b/src/core/placement/upstreamshares.h
@@ -13,7 +13,8 @@
 ///
 /// Returns for each upstream whether the daemon at `place` prefers it. All daemons that see the same lists agree on whose
 /// an upstream is, without a message. Where daemons outnumber upstreams each prefers one, and several share it.
-std::vector<bool> preferredUpstreams(std::span<const std::string> upstreamDomains, std::span<const std::string> daemonDomains, std::size_t place);
+std::vector<bool>
+preferredUpstreams(std::span<const std::string> upstreamDomains, std::span<const std::string> daemonDomains, std::size_t place);
 
 }
 
--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -150,17 +150,19 @@
         auto &followed = of(topic);
         const auto name = topic == Topic::Routes ? Platform::routesTopic() : Platform::upstreamsTopic();
         const auto age = now - followed.contactAt.value_or(m_startedAt);
-        const bool better = followed.betterReaderAt && now - *followed.betterReaderAt <= readerReportEvery * 3;
+        const auto silence = followed.betterReaderAt ? std::optional(now - *followed.betterReaderAt) : std::nullopt;
         const auto place = Fleet::readerPlace(name, names, m_settings.host);
         const bool active = followed.follower->active();
         // A daemon that knows nothing yet does not wait for others: after a restart of all there is nobody to wait for.
-        const bool wanted = !followed.feed.known() || Fleet::shouldRead(place, age, active, better, m_rules);
+        const bool wanted = !followed.feed.known() || Fleet::shouldRead(place, age, active, silence, m_rules);
         if (wanted != active) {
             logInfo(wanted ? "store-reading" : "store-reading-ended",
                     {{"topic", std::string(name)},
                      {"place", textOf(static_cast<std::int64_t>(place))},
                      {"age-ms", textOf(static_cast<std::int64_t>(age.count))}});
             followed.follower->setActive(wanted);
+            // The next in the order must hear of it before its own turn.
+            m_reportedAt = Millis{-1e12};
         }
     }
 }
