--- a/src/entry/peerreport.cpp
+++ b/src/entry/peerreport.cpp
@@ -29,10 +29,10 @@
 std::string encodeReport(PeerReport report)
 {
     auto bytes = encodeWhole(report);
-    auto &[outcomes, crowding] = report.findings;
-    while (bytes.size() > maxReportBytes && !report.findings.empty()) {
-        outcomes.resize(outcomes.size() / 2);
-        crowding.resize(crowding.size() / 2);
+    auto &findings = report.findings;
+    while (bytes.size() > maxReportBytes && !findings.empty()) {
+        findings.outcomes.resize(findings.outcomes.size() / 2);
+        findings.crowding.resize(findings.crowding.size() / 2);
         bytes = encodeWhole(report);
     }
     return bytes;
--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -231,6 +231,7 @@
     std::sort(serving.begin(), serving.end(), [](const auto &a, const auto &b) { return a.host < b.host; });
     const auto own = std::find_if(serving.begin(), serving.end(), [&](const EntryAddress &it) { return it.host == m_settings.host; });
     std::vector<std::string> domains;
+    domains.reserve(serving.size());
     for (const auto &it : serving) {
         domains.push_back(it.domain);
     }
