--- a/src/core/placement/servicedispatcher.cpp
+++ b/src/core/placement/servicedispatcher.cpp
@@ -29,7 +29,7 @@
 // would never be corrected if nothing were sent against it. The second one holds while too few answers have taught it.
 constexpr double trialShare = 0.03;
 constexpr double trialShareUnknown = 0.25;
-// Calls of other daemons come unseen: an upstream that another daemon prefers counts as this much slower.
+// The calls of other daemons come unseen: an upstream that another daemon prefers counts as this much slower.
 constexpr double foreignCost = 1.5;
 // Times of calls spread around the usual one; most take less than this factor on it.
 constexpr double spreadFactor = 1.25;
@@ -121,12 +121,8 @@
     return known.present && !known.view.leftAlone(now);
 }
 
-void ServiceDispatcher::askSome(Open &call, std::size_t count, Millis now, Actions &actions)
+std::vector<UpstreamId> ServiceDispatcher::askingOrder(const Open &call, std::size_t count, Millis now)
 {
-    ++call.rounds;
-    call.pressureNoted = false;
-    call.roundEnds = now + m_options.roundTime;
-    call.nextAt = call.roundEnds;
     std::vector<UpstreamId> order;
     for (UpstreamId id = 0; id < m_upstreams.size(); ++id) {
         const bool tried = std::find(call.tried.begin(), call.tried.end(), id) != call.tried.end();
@@ -136,22 +132,26 @@
         }
     }
     std::shuffle(order.begin(), order.end(), m_random);
+    std::stable_partition(order.begin(), order.end(), [&](UpstreamId id) { return m_upstreams[id].own; });
     // Bulk calls ask the own failure domain first, others ask it for half: a near upstream that suits is as good as a far one.
     // Where room is scarce all are asked alike, or the daemons of one domain would crowd its upstreams.
     const auto nearWanted = call.spec.bulk ? order.size() : m_pressure <= lowPressure ? count / 2 : 0;
-    if (true) {
-        std::stable_partition(order.begin(), order.end(), [&](UpstreamId id) { return m_upstreams[id].own; });
-    }
     std::size_t nearFound = 0;
     std::stable_partition(order.begin(), order.end(), [&](UpstreamId id) {
         return m_upstreams[id].view.spec().domain == m_options.domain && nearFound++ < nearWanted;
     });
-    for (const auto id : order) {
-        if (count == 0) {
-            break;
-        }
+    order.resize(std::min(order.size(), count));
+    return order;
+}
+
+void ServiceDispatcher::askSome(Open &call, std::size_t count, Millis now, Actions &actions)
+{
+    ++call.rounds;
+    call.pressureNoted = false;
+    call.roundEnds = now + m_options.roundTime;
+    call.nextAt = call.roundEnds;
+    for (const auto id : askingOrder(call, count, now)) {
         auto &known = m_upstreams[id];
-        --count;
         call.asked.push_back(id);
         if (known.probing || known.view.hasFresh(now, m_options.freshFor)) {
             continue;
--- a/src/core/placement/servicedispatcher.h
+++ b/src/core/placement/servicedispatcher.h
@@ -185,6 +185,8 @@
 
     void learnFromProbe(KnownUpstream &known, const ProbeResult &result, Millis now);
     void startSearch(Open &call, Search search, Millis now, Actions &actions);
+    /// The `count` upstreams that the call asks next.
+    std::vector<UpstreamId> askingOrder(const Open &call, std::size_t count, Millis now);
     void askSome(Open &call, std::size_t count, Millis now, Actions &actions);
     void askForHeld(Open &call, Millis now, Actions &actions);
     bool roundOver(const Open &call, Millis now) const;
