--- /dev/null
+++ b/tests/daemon/freeports.cpp
@@ -0,0 +1,20 @@
+#include "daemon/system.h"
+
+#include <doctest/doctest.h>
+#include <fstream>
+#include <set>
+
+using namespace Laburnummast;
+
+TEST_CASE("Ports for test daemons are not among those that outgoing connections may take")
+{
+    int lowest = 0;
+    std::ifstream("/proc/sys/net/ipv4/ip_local_port_range") >> lowest;
+    REQUIRE(lowest > 0);
+    std::set<std::uint16_t> given;
+    for (int i = 0; i < 50; ++i) {
+        const auto port = Tests::freeAddress().port;
+        CHECK(port < lowest);
+        CHECK(given.insert(port).second);
+    }
+}
--- a/tests/daemon/system.h
+++ b/tests/daemon/system.h
@@ -1,8 +1,10 @@
 #ifndef LABURNUMMAST_TESTS_DAEMON_SYSTEM_H
 #define LABURNUMMAST_TESTS_DAEMON_SYSTEM_H
 
+#include "core/config/address.h"
 #include "core/keyedhash.h"
 #include "daemon/daemon.h"
+#include "freeports.h"
 #include "net/httpclient.h"
 #include "process/signals.h"
 #include "process/wallclock.h"
@@ -26,12 +28,10 @@
 namespace Laburnummast::Tests
 {
 
-/// A port that nobody listened on a moment ago.
+/// An address of this process alone, where nobody listens.
 inline Net::Address freeAddress()
 {
-    boost::asio::io_context context;
-    boost::asio::ip::tcp::acceptor acceptor(context, {boost::asio::ip::make_address("127.0.0.1"), 0});
-    return {.ip = "127.0.0.1", .port = acceptor.local_endpoint().port()};
+    return {.ip = "127.0.0.1", .port = FreePorts::instance().take(1)};
 }
 
 /// Waits for a condition; the limit only ends a test that has failed.
@@ -133,7 +133,9 @@
         m_settings.push_back(settings);
         m_daemons.push_back(
             std::make_unique<Daemon::Daemon>(settings, Daemon::DaemonKeys{.peer = "peer-key", .operators = "operator-key"}));
-        REQUIRE_FALSE(m_daemons.back()->start());
+        const auto failure = m_daemons.back()->start();
+        INFO("address that could not be had: ", failure ? Config::toString(*failure) : std::string());
+        REQUIRE_FALSE(failure);
     }
 
     void logFault(const std::string &query) const
--- a/tests/entry/wholepath.cpp
+++ b/tests/entry/wholepath.cpp
@@ -1,5 +1,6 @@
 #include "core/text.h"
 #include "entry/node.h"
+#include "freeports.h"
 #include "http/clientconnection.h"
 #include "platform/fakestore.h"
 #include "platform/fakeworker.h"
@@ -12,7 +13,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <unistd.h>
 
 using namespace Laburnummast;
 using namespace Laburnummast::Entry;
@@ -40,39 +40,13 @@
         R"(","max-attempts":2}},"services":{"s":{"health-check-path":"/hc"},"s2":{"health-check-path":"/hc"}},"limits":{}})");
 }
 
-// First of some neighbouring ports that nobody uses on the daemons' addresses. They lie below those that the system hands
-// out by itself, which any connection may take at any moment.
-std::uint16_t freePorts(boost::asio::io_context &loop)
-{
-    constexpr int lowest = 18000;
-    constexpr int span = 12000;
-    static int next = static_cast<int>(getpid()) * portsOfNode;
-    while (true) {
-        const auto base = static_cast<std::uint16_t>(lowest + next % span);
-        next += portsOfNode;
-        bool free = true;
-        for (int i = 0; i < portsOfNode && free; ++i) {
-            for (const auto *ip : {"127.0.0.1", "127.0.0.2"}) {
-                boost::system::error_code ec;
-                boost::asio::ip::tcp::acceptor acceptor(loop);
-                acceptor.open(boost::asio::ip::tcp::v4(), ec);
-                acceptor.bind({boost::asio::ip::make_address(ip), static_cast<std::uint16_t>(base + i)}, ec);
-                free = free && !ec;
-            }
-        }
-        if (free) {
-            return base;
-        }
-    }
-}
-
 // A store, some workers and daemons, all on loopback addresses.
 class System
 {
 public:
     explicit System(int workerCount)
         : m_store(m_loop)
-        , m_ports(freePorts(m_loop))
+        , m_ports(Tests::FreePorts::instance().take(portsOfNode, {"127.0.0.1", "127.0.0.2"}))
     {
         REQUIRE(m_store.start("127.0.0.1"));
         for (int i = 0; i < workerCount; ++i) {
--- /dev/null
+++ b/tests/freeports.h
@@ -0,0 +1,83 @@
+#ifndef LABURNUMMAST_TESTS_FREEPORTS_H
+#define LABURNUMMAST_TESTS_FREEPORTS_H
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Laburnummast::Tests
+{
+
+/// Ports that only this process hands out.
+///
+/// They lie below those that the system gives to outgoing connections, which may take one between the moment it was found free
+/// and the moment a daemon binds it. Each test process holds a block of its own by listening on the block's first port.
+class FreePorts
+{
+public:
+    static FreePorts &instance()
+    {
+        static FreePorts ports;
+        return ports;
+    }
+
+    /// First of `count` neighbouring ports that nobody uses on any of `ips`.
+    std::uint16_t take(int count, const std::vector<std::string> &ips = {"127.0.0.1"})
+    {
+        while (true) {
+            if (m_next + count > blockSize) {
+                m_next = 1;
+            }
+            const int base = m_block + m_next;
+            m_next += count;
+            bool free = true;
+            for (int i = 0; i < count; ++i) {
+                for (const auto &ip : ips) {
+                    free = free && bind(ip, base + i).has_value();
+                }
+            }
+            if (free) {
+                return static_cast<std::uint16_t>(base);
+            }
+        }
+    }
+
+private:
+    using Acceptor = boost::asio::ip::tcp::acceptor;
+
+    static constexpr int lowest = 18000;
+    static constexpr int blockSize = 500;
+    static constexpr int blocks = 28;
+
+    FreePorts()
+    {
+        while (!m_hold) {
+            for (int i = 0; i < blocks && !m_hold; ++i) {
+                m_block = lowest + i * blockSize;
+                m_hold = bind("127.0.0.1", m_block);
+            }
+        }
+        m_hold->listen();
+    }
+
+    std::optional<Acceptor> bind(const std::string &ip, int port)
+    {
+        boost::system::error_code ec;
+        Acceptor acceptor(m_context);
+        acceptor.open(boost::asio::ip::tcp::v4(), ec);
+        acceptor.bind({boost::asio::ip::make_address(ip), static_cast<std::uint16_t>(port)}, ec);
+        return ec ? std::nullopt : std::optional(std::move(acceptor));
+    }
+
+    boost::asio::io_context m_context;
+    std::optional<Acceptor> m_hold;
+    int m_block = lowest;
+    int m_next = 1;
+};
+
+}
+
+#endif
