Log and count the records that could not be fetched from another daemon

Cause: of the three hypotheses on DENIED, none could be told apart by logs: a fetch between daemons that failed had neither a line nor a metric. Change: event records-fetch-failed (topic, position, peer, reason, time), counters of fetches, failed fetches and bytes in and out. No logic is changed.

--- a/src/entry/admin.cpp
+++ b/src/entry/admin.cpp
@@ -94,6 +94,13 @@
     addGauge(families, "laburnummast_upstreams", "Upstreams known.", static_cast<double>(state.upstreamCount));
     addGauge(families, "laburnummast_members", "Daemons that live.", static_cast<double>(state.servingMemberCount));
     addCounter(families, "laburnummast_unreadable_records_total", "Records of the store that could not be read.", state.unreadableValues);
+    addCounter(families, "laburnummast_record_fetches_total", "Requests for records to other daemons.", state.peers.fetches);
+    addCounter(families,
+               "laburnummast_record_fetches_failed_total",
+               "Requests for records to other daemons that failed.",
+               state.peers.failedFetches);
+    addCounter(families, "laburnummast_record_bytes_in_total", "Bytes of records from other daemons.", state.peers.recordBytesIn);
+    addCounter(families, "laburnummast_record_bytes_out_total", "Bytes of records to other daemons.", state.peers.recordBytesOut);
     addCounter(
         families, "laburnummast_peer_datagrams_unreadable_total", "Datagrams that could not be read.", state.peers.unreadableMessages);
 }
--- a/src/entry/peerlink.cpp
+++ b/src/entry/peerlink.cpp
@@ -2,6 +2,7 @@
 
 #include "core/boundedarchive.h"
 #include "core/text.h"
+#include "process/log.h"
 #include "process/wallclock.h"
 
 #include <algorithm>
@@ -51,6 +52,18 @@
     return options;
 }
 
+void logFailedFetch(Topic topic, std::int64_t from, const Address &peer, Millis duration, const Http::ClientResult &result)
+{
+    const auto *response = std::get_if<Http::Response>(&result);
+    Process::logWarning(
+        "records-fetch-failed",
+        {{"topic", Text::concat(static_cast<int>(topic))},
+         {"from", Text::concat(from)},
+         {"peer", peer.ip},
+         {"reason", response ? Text::concat("status-", response->status) : std::string(Http::nameOf(std::get<Http::ClientError>(result)))},
+         {"after-ms", Text::concat(static_cast<std::int64_t>(duration.count))}});
+}
+
 }
 
 Address internalAddress(const NodeSettings &settings, InternalPort port)
@@ -223,19 +236,22 @@
     }
     m_fetching[index] = true;
     ++m_counters.fetches;
-    const auto connection = clientPoolOf(peer).acquire(Process::steadyNow());
+    const auto startedAt = Process::steadyNow();
+    const auto connection = clientPoolOf(peer).acquire(startedAt);
     const Http::Request request{
         .method = "GET", .target = Text::concat("/records?topic=", index, "&from=", from), .headers = {{"Host", peer.ip}}, .body = {}};
     connection->start({.bytes = Http::encode(request),
                        .timeout = fetchTimeout,
                        .matchesRequest = nullptr,
-                       .onResult = [this, topic, index, peer, connection](const Http::ClientResult &result) {
+                       .onResult = [this, topic, index, from, peer, startedAt, connection](const Http::ClientResult &result) {
                            m_fetching[index] = false;
                            const auto *response = std::get_if<Http::Response>(&result);
                            if (!response || response->status != 200) {
                                ++m_counters.failedFetches;
+                               logFailedFetch(topic, from, peer, Process::steadyNow() - startedAt, result);
                                return;
                            }
+                           m_counters.recordBytesIn += response->body.size();
                            clientPoolOf(peer).release(connection);
                            // The archive reports truncated bytes and lengths beyond their end only by exceptions.
                            try {
@@ -262,7 +278,9 @@
         cereal::PortableBinaryOutputArchive archive(stream);
         archive(m_events.recordsSince(static_cast<Topic>(*topic), *from));
     }
-    responder.send({.status = 200, .headers = {{"Content-Type", "application/octet-stream"}}, .body = stream.str()});
+    auto bytes = stream.str();
+    m_counters.recordBytesOut += bytes.size();
+    responder.send({.status = 200, .headers = {{"Content-Type", "application/octet-stream"}}, .body = std::move(bytes)});
 }
 
 void PeerLink::announceRoutesVersion(std::int64_t version)
--- a/src/entry/peerlink.h
+++ b/src/entry/peerlink.h
@@ -62,6 +62,9 @@
     std::uint64_t fetches = 0;
     /// Requests for records without a response of status 200.
     std::uint64_t failedFetches = 0;
+    /// Bytes of records received from and sent to other daemons.
+    std::uint64_t recordBytesIn = 0;
+    std::uint64_t recordBytesOut = 0;
 };
 
 /// Exchanges membership, reports and records with the other daemons; runs on the control thread.
