Serve new records to few daemons at a time, compressed

What callers saw: 404 for routes that had been confirmed (DENIED), and requests handled by old routes (CONFIG), on deployments of about a hundred daemons with links of 10 Mbit/s, after a change that makes the routes large. Cause: all daemons fetched a new record at once from the one that reads the store; each fetch was given up after 500 ms and began anew. 132 copies of 260 KB share one link, so none is complete in time, and the link stays full. Only daemons whose turn had come to read the store themselves got the record, one every 150 ms. Change: core/feed/UploadQueue admits the uploads that the link carries within 50 ms, defers the others with 503, and invites them when it is free; daemons that got large records offer them to 24 others at once, so the holders double with each upload. A fetch is given up after 500 ms without a byte instead of 500 ms in all. Why it works: the time grows with the logarithm of the number of daemons instead of the number.

--- a/src/entry/admin.cpp
+++ b/src/entry/admin.cpp
@@ -99,6 +99,14 @@
                "laburnummast_record_fetches_failed_total",
                "Requests for records to other daemons that failed.",
                state.peers.failedFetches);
+    addCounter(families,
+               "laburnummast_record_fetches_deferred_total",
+               "Requests for records that another daemon deferred while it served others.",
+               state.peers.deferredFetches);
+    addCounter(families,
+               "laburnummast_record_uploads_deferred_total",
+               "Requests of other daemons for records that were deferred.",
+               state.peers.deferredUploads);
     addCounter(families, "laburnummast_record_bytes_in_total", "Bytes of records from other daemons.", state.peers.recordBytesIn);
     addCounter(families, "laburnummast_record_bytes_out_total", "Bytes of records to other daemons.", state.peers.recordBytesOut);
     addCounter(
--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -52,6 +52,7 @@
               settings,
               {.onMember = [this](const Membership::MemberChanged &it) { handleMemberChange(it); },
                .onReport = [this](const PeerReport &it) { handleReport(it); },
+               .currentReport = [this] { return positionReport(); },
                .recordsSince = [this](Topic topic, std::int64_t from) { return followedTopic(topic).feed.deltaSince(from); },
                .onRecords = [this](Topic topic, const Feed::FeedDelta &delta) { applyPeerRecords(topic, delta); }})
     , m_timer(loop)
@@ -200,10 +201,9 @@
     return failures ? failureReportInterval : isReader ? readerReportInterval : defaultReportInterval;
 }
 
-void Control::sendReport(bool toAll)
+PeerReport Control::positionReport() const
 {
     const auto now = Process::steadyNow();
-    m_lastReportAt = now;
     PeerReport report{.host = m_settings.host,
                       .ip = m_settings.ip,
                       .recordsPort = internalAddress(m_settings, InternalPort::Members).port,
@@ -216,6 +216,13 @@
                            .isReading = followed.follower->active() && followed.follower->consecutiveFailures() == 0,
                            .contactAge = now - followed.lastContactAt.value_or(Millis{-1e12})};
     }
+    return report;
+}
+
+void Control::sendReport(bool toAll)
+{
+    m_lastReportAt = Process::steadyNow();
+    auto report = positionReport();
     for (auto &[key, it] : m_outcomes) {
         report.observations.outcomes.push_back(std::move(it));
     }
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -124,6 +124,8 @@
     void handleMemberChange(const Membership::MemberChanged &change);
     void handleReport(const PeerReport &report);
     void applyPeerRecords(Topic topic, const Feed::FeedDelta &delta);
+    /// Report of this daemon's position in all topics, without observations.
+    PeerReport positionReport() const;
     /// Sends a report to all peers, or to some if there are many and `toAll` is not set.
     void sendReport(bool toAll);
     Millis reportInterval(bool isReader) const;
--- a/src/entry/nodesettings.h
+++ b/src/entry/nodesettings.h
@@ -55,6 +55,8 @@
     /// Control addresses of some other daemons, any of which may no longer run; only their IPs are used.
     std::vector<Address> seeds;
     Address store;
+    /// Capacity of this host's link, in megabits per second.
+    double linkMegabits = 10;
     /// CPU share of this daemon; without effect.
     double cpuShare = 1;
     NodeBounds bounds;
--- a/src/entry/peerlink.cpp
+++ b/src/entry/peerlink.cpp
@@ -2,6 +2,7 @@
 
 #include "core/boundedarchive.h"
 #include "core/text.h"
+#include "http/contentcoding.h"
 #include "process/log.h"
 #include "process/wallclock.h"
 
@@ -23,7 +24,12 @@
 constexpr std::chrono::milliseconds membershipTickInterval(100);
 // A report goes to all peers if there are at most this many, else to this many randomly chosen ones.
 constexpr std::size_t reportFanout = 24;
-constexpr Millis fetchTimeout = 500_ms;
+constexpr Millis fetchTimeout = 5_s;
+// A peer that sends nothing for this long is given up, while one with a slow link may take up to `fetchTimeout`.
+constexpr Millis fetchProgressTimeout = 500_ms;
+// Smaller bodies are sent as they are.
+constexpr std::size_t minCompressedBytes = 1024;
+constexpr int deferredStatus = 503;
 // Only daemons can reach the internal ports, so the key is not secret: the keyed hash rejects stray datagrams, not forged ones.
 constexpr std::string_view membershipKey = "laburnummast-members";
 
@@ -52,6 +58,12 @@
     return options;
 }
 
+Feed::UploadQueueOptions uploadOptions(const NodeSettings &settings)
+{
+    constexpr double bytesPerMilliOfMegabit = 125;
+    return {.linkRate = settings.linkMegabits * bytesPerMilliOfMegabit};
+}
+
 void logFailedFetch(Topic topic, std::int64_t from, const Address &peer, Millis duration, const Http::ClientResult &result)
 {
     const auto *response = std::get_if<Http::Response>(&result);
@@ -83,7 +95,9 @@
           {.onRequest
            = [this](const Http::Request &request, const Http::Responder &responder, std::uint64_t) { serveRecords(request, responder); },
            .onDisconnect = [](std::uint64_t) {}})
+    , m_uploads{Feed::UploadQueue(uploadOptions(settings)), Feed::UploadQueue(uploadOptions(settings))}
     , m_timer(loop)
+    , m_invitationTimer(loop)
     , m_random(randomSeedOf(settings))
 {
 }
@@ -213,11 +227,16 @@
         members.resize(reportFanout);
     }
     for (const auto &it : members) {
-        const auto port = static_cast<std::uint16_t>(it.info.peer.port + static_cast<std::uint16_t>(InternalPort::Reports));
-        send(m_reportReceiver.socket, bytes, {.ip = it.info.peer.ip, .port = port});
+        sendReportTo(it, bytes);
     }
 }
 
+void PeerLink::sendReportTo(const Membership::Member &member, std::string_view bytes)
+{
+    const auto port = static_cast<std::uint16_t>(member.info.peer.port + static_cast<std::uint16_t>(InternalPort::Reports));
+    send(m_reportReceiver.socket, bytes, {.ip = member.info.peer.ip, .port = port});
+}
+
 Http::ClientPool &PeerLink::clientPoolOf(const Address &peer)
 {
     auto &pool = m_pools[peer];
@@ -238,33 +257,55 @@
     ++m_counters.fetches;
     const auto startedAt = Process::steadyNow();
     const auto connection = clientPoolOf(peer).acquire(startedAt);
-    const Http::Request request{
-        .method = "GET", .target = Text::concat("/records?topic=", index, "&from=", from), .headers = {{"Host", peer.ip}}, .body = {}};
+    const Http::Request request{.method = "GET",
+                                .target = Text::concat("/records?topic=", index, "&from=", from, "&host=", m_settings.host),
+                                .headers = {{"Host", peer.ip}, {"Accept-Encoding", std::string(Http::compressedCoding)}},
+                                .body = {}};
     connection->start({.bytes = Http::encode(request),
                        .timeout = fetchTimeout,
+                       .progressTimeout = fetchProgressTimeout,
                        .matchesRequest = nullptr,
                        .onResult = [this, topic, index, from, peer, startedAt, connection](const Http::ClientResult &result) {
                            m_fetching[index] = false;
                            const auto *response = std::get_if<Http::Response>(&result);
+                           if (response && response->status == deferredStatus) {
+                               ++m_counters.deferredFetches;
+                               clientPoolOf(peer).release(connection);
+                               return;
+                           }
                            if (!response || response->status != 200) {
                                ++m_counters.failedFetches;
                                logFailedFetch(topic, from, peer, Process::steadyNow() - startedAt, result);
                                return;
                            }
-                           m_counters.recordBytesIn += response->body.size();
                            clientPoolOf(peer).release(connection);
-                           // The archive reports truncated bytes and lengths beyond their end only by exceptions.
-                           try {
-                               BoundedInputArchive archive(response->body);
-                               Feed::FeedDelta delta;
-                               archive(delta);
-                               m_events.onRecords(topic, delta);
-                           } catch (const cereal::Exception &) {
-                               ++m_counters.unreadableMessages;
-                           }
+                           handleRecordsResponse(topic, *response);
                        }});
 }
 
+void PeerLink::handleRecordsResponse(Topic topic, const Http::Response &response)
+{
+    m_counters.recordBytesIn += response.body.size();
+    const auto body = Http::decompressedBody(response);
+    if (!body) {
+        ++m_counters.unreadableMessages;
+        return;
+    }
+    // The archive reports truncated bytes and lengths beyond their end only by exceptions.
+    try {
+        BoundedInputArchive archive(*body);
+        Feed::FeedDelta delta;
+        archive(delta);
+        m_events.onRecords(topic, delta);
+    } catch (const cereal::Exception &) {
+        ++m_counters.unreadableMessages;
+        return;
+    }
+    if (m_uploads[static_cast<std::size_t>(topic)].needsRelays(response.body.size(), m_membership.serving().size())) {
+        sendReport(m_events.currentReport(), false);
+    }
+}
+
 void PeerLink::serveRecords(const Http::Request &request, const Http::Responder &responder)
 {
     const auto topic = Text::parseInteger(Http::queryParameter(request.target, "topic").value_or(""));
@@ -273,14 +314,58 @@
         responder.send({.status = 400, .headers = {}, .body = {}});
         return;
     }
+    const auto now = Process::steadyNow();
+    auto &uploads = m_uploads[static_cast<std::size_t>(*topic)];
+    if (!uploads.admit(Http::queryParameter(request.target, "host").value_or(""), now)) {
+        ++m_counters.deferredUploads;
+        responder.send({.status = deferredStatus, .headers = {}, .body = {}});
+        inviteWaitingPeers();
+        return;
+    }
     std::ostringstream stream;
     {
         cereal::PortableBinaryOutputArchive archive(stream);
         archive(m_events.recordsSince(static_cast<Topic>(*topic), *from));
     }
-    auto bytes = stream.str();
-    m_counters.recordBytesOut += bytes.size();
-    responder.send({.status = 200, .headers = {{"Content-Type", "application/octet-stream"}}, .body = std::move(bytes)});
+    Http::Response response{.status = 200, .headers = {{"Content-Type", "application/octet-stream"}}, .body = stream.str()};
+    if (response.body.size() >= minCompressedBytes && Http::acceptsCompressed(request)) {
+        Http::compressBody(response);
+    }
+    uploads.start(response.body.size(), now);
+    m_counters.recordBytesOut += response.body.size();
+    responder.send(std::move(response));
+}
+
+void PeerLink::inviteWaitingPeers()
+{
+    if (m_stopped) {
+        return;
+    }
+    const auto now = Process::steadyNow();
+    std::optional<Millis> due;
+    for (auto &uploads : m_uploads) {
+        const auto invited = uploads.takeInvitations(now);
+        if (!invited.empty()) {
+            const auto bytes = encodeReport(m_events.currentReport());
+            for (const auto &member : m_membership.serving()) {
+                if (std::find(invited.begin(), invited.end(), member.info.host) != invited.end()) {
+                    sendReportTo(member, bytes);
+                }
+            }
+        }
+        if (const auto next = uploads.nextDue(); next && (!due || *next < *due)) {
+            due = next;
+        }
+    }
+    if (!due) {
+        return;
+    }
+    m_invitationTimer.expires_after(std::chrono::microseconds(static_cast<std::int64_t>(std::max(0.0, (*due - now).count) * 1000)));
+    m_invitationTimer.async_wait([this](const auto &ec) {
+        if (!ec) {
+            inviteWaitingPeers();
+        }
+    });
 }
 
 void PeerLink::announceRoutesVersion(std::int64_t version)
@@ -307,6 +392,7 @@
     execute(actions);
     m_stopped = true;
     m_timer.cancel();
+    m_invitationTimer.cancel();
     boost::system::error_code ec;
     m_memberReceiver.socket.close(ec);
     m_reportReceiver.socket.close(ec);
--- a/src/entry/peerlink.h
+++ b/src/entry/peerlink.h
@@ -2,6 +2,7 @@
 #define LABURNUMMAST_ENTRY_PEERLINK_H
 
 #include "core/feed/keyedfeed.h"
+#include "core/feed/uploadqueue.h"
 #include "core/membership/membership.h"
 #include "entry/nodesettings.h"
 #include "entry/peerreport.h"
@@ -43,6 +44,8 @@
     std::function<void(const Membership::MemberChanged &)> onMember;
     /// A report has arrived.
     std::function<void(const PeerReport &)> onReport;
+    /// Returns the position of this daemon in all topics, without observations.
+    std::function<PeerReport()> currentReport;
     /// Returns the records from an offset on, which another daemon requested.
     std::function<Feed::FeedDelta(Topic, std::int64_t from)> recordsSince;
     /// The records that fetchRecords() requested have arrived.
@@ -60,8 +63,12 @@
     std::uint64_t unreadableMessages = 0;
     /// Requests for records.
     std::uint64_t fetches = 0;
-    /// Requests for records without a response of status 200.
+    /// Requests for records without a usable response.
     std::uint64_t failedFetches = 0;
+    /// Requests for records that the other daemon deferred, because it was serving others.
+    std::uint64_t deferredFetches = 0;
+    /// Requests of other daemons for records that this daemon deferred.
+    std::uint64_t deferredUploads = 0;
     /// Bytes of records received from and sent to other daemons.
     std::uint64_t recordBytesIn = 0;
     std::uint64_t recordBytesOut = 0;
@@ -121,6 +128,10 @@
     void handleReportDatagram(std::string_view bytes, const Udp::endpoint &from);
     void send(Udp::socket &socket, std::string_view bytes, const Address &to);
     void serveRecords(const Http::Request &request, const Http::Responder &responder);
+    void handleRecordsResponse(Topic topic, const Http::Response &response);
+    /// Sends this daemon's position to waiting peers whose turn has come, and sets the timer for the next ones.
+    void inviteWaitingPeers();
+    void sendReportTo(const Membership::Member &member, std::string_view bytes);
     Http::ClientPool &clientPoolOf(const Address &peer);
     std::optional<Address> bind(Receiver &receiver, const Address &address);
 
@@ -133,7 +144,10 @@
     Http::Listener m_recordsListener;
     std::map<Address, std::unique_ptr<Http::ClientPool>> m_pools;
     std::array<bool, topicCount> m_fetching{};
+    /// One for each topic, so that small records of one do not wait for large ones of the other.
+    std::array<Feed::UploadQueue, topicCount> m_uploads;
     boost::asio::steady_timer m_timer;
+    boost::asio::steady_timer m_invitationTimer;
     std::mt19937_64 m_random;
     bool m_stopped = false;
     PeerCounters m_counters;
--- a/src/http/clientconnection.cpp
+++ b/src/http/clientconnection.cpp
@@ -81,6 +81,7 @@
     m_exchange = std::move(exchange);
     ++m_exchangeCount;
     m_requestWritten = false;
+    m_deadline = Process::steadyNow() + m_exchange.timeout;
     startTimer();
     if (m_connected) {
         send();
@@ -171,6 +172,9 @@
         return;
     }
     m_buffer.commit(n);
+    if (m_exchange.progressTimeout) {
+        startTimer();
+    }
     parseBuffered();
 }
 
@@ -266,7 +270,9 @@
 
 void ClientConnection::startTimer()
 {
-    m_timer.expires_after(std::chrono::microseconds(static_cast<std::int64_t>(std::max(0.0, m_exchange.timeout.count) * 1000)));
+    const auto left = std::max(0_ms, m_deadline - Process::steadyNow());
+    const auto timeout = std::min(left, m_exchange.progressTimeout.value_or(left));
+    m_timer.expires_after(std::chrono::microseconds(static_cast<std::int64_t>(timeout.count * 1000)));
     m_timer.async_wait([self = shared_from_this(), exchange = m_exchangeCount](const auto &ec) {
         if (ec || self->m_exchangeCount != exchange || self->m_state == State::Idle) {
             return;
--- a/src/http/clientconnection.h
+++ b/src/http/clientconnection.h
@@ -48,6 +48,8 @@
     std::string bytes;
     /// Limit for the whole exchange, including a connect.
     Millis timeout{1000};
+    /// Limit for the time without a byte from the server; empty for none but `timeout`.
+    std::optional<Millis> progressTimeout;
     /// Whether this is a HEAD request, whose response has no body.
     bool headRequest = false;
     /// Responses for which this returns false belong to another request and are discarded; if unset, every response is accepted.
@@ -128,6 +130,8 @@
     bool m_connected = false;
     bool m_readPending = false;
     bool m_requestWritten = false;
+    /// When the current exchange times out, on the steady clock.
+    Millis m_deadline{};
     std::uint64_t m_exchangeCount = 0;
     Millis m_idleSince{};
     Millis m_serverKeepAlive{};
--- a/tests/entry/wholepath.cpp
+++ b/tests/entry/wholepath.cpp
@@ -40,13 +40,26 @@
         R"(","max-attempts":2}},"services":{"s":{"health-check-path":"/hc"},"s2":{"health-check-path":"/hc"}},"limits":{}})");
 }
 
+// The routes of routesJson() and `extraRoutes` further ones.
+std::string largeRoutesJson(int version, int extraRoutes)
+{
+    auto json = routesJson(version, "s");
+    std::string extra;
+    for (int i = 0; i < extraRoutes; ++i) {
+        Text::append(extra, R"("extra-)", i, R"(":{"host":"h.example","path-prefix":"/extra)", i);
+        Text::append(extra, R"(/","kind":"safe","timeout":"800ms","target-latency":"250ms","priority":0,"service":"s","max-attempts":2},)");
+    }
+    const std::string_view start = R"("routes":{)";
+    return json.insert(json.find(start) + start.size(), extra);
+}
+
 // A fake store, fake upstreams and daemons on loopback addresses.
 class System
 {
 public:
     explicit System(int upstreamCount)
         : m_store(m_loop)
-        , m_ports(Tests::FreePorts::instance().take(portsPerNode, {"127.0.0.1", "127.0.0.2"}))
+        , m_ports(Tests::FreePorts::instance().take(portsPerNode, {"127.0.0.1", "127.0.0.2", "127.0.0.3", "127.0.0.4"}))
     {
         REQUIRE(m_store.start("127.0.0.1"));
         for (int i = 0; i < upstreamCount; ++i) {
@@ -74,7 +87,7 @@
     }
 
     // Daemon `n` listens on 127.0.0.(n+1); all daemons use the same ports.
-    void startNode(int n)
+    void startNode(int n, double linkMegabits = 1000)
     {
         const auto ip = "127.0.0." + std::to_string(n + 1);
         NodeSettings settings{.host = "host-" + std::to_string(n),
@@ -88,6 +101,7 @@
                               .lastInternalPort = static_cast<std::uint16_t>(m_ports + 10),
                               .seeds = {{.ip = "127.0.0.1", .port = m_ports}},
                               .store = {.ip = "127.0.0.1", .port = m_store.port()},
+                              .linkMegabits = linkMegabits,
                               .bounds = {}};
         m_nodes.push_back(std::make_unique<Node>(settings));
         REQUIRE_FALSE(m_nodes.back()->start().has_value());
@@ -285,6 +299,26 @@
     }
 }
 
+TEST_CASE("A large route table reaches every daemon, though daemons with slow links serve one other at a time")
+{
+    System system(1);
+    system.publishAll();
+    constexpr int daemons = 4;
+    for (int n = 0; n < daemons; ++n) {
+        system.startNode(n, 0.5);
+        REQUIRE(system.ready(n));
+    }
+    system.store().put(routesTopic, "config", largeRoutesJson(2, 1200));
+    std::uint64_t bytesIn = 0;
+    for (int n = 0; n < daemons; ++n) {
+        CHECK(system.runUntil([&] { return system.node(static_cast<std::size_t>(n)).controlState().routesVersion == 2; }));
+        CHECK(system.call(n, "/extra1199/x").status == 200);
+        bytesIn += system.node(static_cast<std::size_t>(n)).controlState().peers.recordBytesIn;
+    }
+    // They are compressed between daemons.
+    CHECK(bytesIn < largeRoutesJson(2, 1200).size());
+}
+
 TEST_CASE("A daemon that missed records which the store has compacted fetches a new snapshot")
 {
     System system(1);
--- a/tests/http/exchange.cpp
+++ b/tests/http/exchange.cpp
@@ -325,6 +325,24 @@
     CHECK(bodyOf(client.get("1", 30_ms)) == "timed-out");
 }
 
+TEST_CASE("An exchange with a limit for its progress ends once the server stops sending in the middle of a response")
+{
+    Asio::io_context loop;
+    ScriptedUpstream upstream(loop, {"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nonly a part"});
+    const auto connection = std::make_shared<ClientConnection>(loop, upstream.acceptor.local_endpoint());
+    std::optional<ClientResult> result;
+    connection->start({.bytes = encode(Request{.method = "GET", .target = "/", .headers = {{"Host", "h"}}, .body = {}}),
+                       .timeout = 600_s,
+                       .progressTimeout = 30_ms,
+                       .matchesRequest = nullptr,
+                       .onResult = [&](ClientResult it) { result = std::move(it); }});
+    for (int i = 0; i < 600 && !result; ++i) {
+        loop.run_for(std::chrono::milliseconds(50));
+    }
+    REQUIRE(result);
+    CHECK(std::get<ClientError>(*result) == ClientError::TimedOut);
+}
+
 TEST_CASE("A server that cannot be reached is reported as such, not as a lost connection")
 {
     Asio::io_context loop;
