Server connection: a request that arrives early is no longer parsed out of older bytes

What callers saw: on a kept connection, a request that was sent before the answer to the one before it had come was not executed; the former request was executed once more in its place and its answer given to the later one. With requests of unequal length the bytes were a mixture, answered 400 or passed on as another body.

Cause: while a request waits for its response a read into m_buffer is pending, to notice a caller that leaves. Bytes that arrive then are appended and the next read is set up behind them. After the response these bytes are parsed and consumed while that read is pending. flat_buffer sets both its ends back to the start once all is consumed, so the commit of the pending read exposes the bytes at the start, which are those of the request before, instead of the ones received behind.

Fix: reads go into an area of their own and are appended to m_buffer once complete, so parsing never moves what a pending read writes. The read stays pending, so a caller that leaves is noticed as before. ClientConnection reads into its parse buffer too, but parses only when no read is pending and keeps nothing in it while idle; it stays.

--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -15,7 +15,6 @@
 namespace Asio = boost::asio;
 namespace Beast = boost::beast::http;
 
-constexpr std::size_t readSizeBytes = 16384;
 // Limit for pipelined bytes that are buffered while a response is pending.
 constexpr std::size_t maxPipelinedBytes = 65536;
 // Time for the client to read the last response before the connection is closed. Closing a socket with unread data resets the
@@ -152,8 +151,7 @@
         return;
     }
     m_readPending = true;
-    m_socket.async_read_some(m_buffer.prepare(readSizeBytes),
-                             [self = shared_from_this()](const auto &ec, std::size_t n) { self->onRead(ec, n); });
+    m_socket.async_read_some(Asio::buffer(m_received), [self = shared_from_this()](const auto &ec, std::size_t n) { self->onRead(ec, n); });
 }
 
 void ServerConnection::onRead(const boost::system::error_code &ec, std::size_t n)
@@ -166,7 +164,7 @@
         onClientDisconnected();
         return;
     }
-    m_buffer.commit(n);
+    m_buffer.commit(Asio::buffer_copy(m_buffer.prepare(n), Asio::buffer(m_received, n)));
     switch (m_state) {
     case State::Reading:
         parseBuffered();
--- a/src/http/serverconnection.h
+++ b/src/http/serverconnection.h
@@ -4,6 +4,7 @@
 #include "core/millis.h"
 #include "http/message.h"
 
+#include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -127,6 +128,9 @@
     boost::asio::ip::tcp::socket m_socket;
     boost::asio::steady_timer m_timer;
     std::shared_ptr<ListenerState> m_listener;
+    /// Where a pending read writes. Not part of `m_buffer`, which is parsed while a read is pending.
+    std::array<char, 16384> m_received;
+    /// Received bytes that are not parsed yet.
     boost::beast::flat_buffer m_buffer;
     std::optional<Parser> m_parser;
     std::string m_writeBuffer;
--- a/tests/http/exchange.cpp
+++ b/tests/http/exchange.cpp
@@ -81,6 +81,16 @@
     responder.send({.status = 200, .headers = {}, .body = "body of " + request.target, .keepAlive = true});
 }
 
+// Target and body of each request.
+std::string summaryOf(const std::vector<Request> &requests)
+{
+    std::string text;
+    for (const auto &it : requests) {
+        text += it.target + " " + it.body + ", ";
+    }
+    return text;
+}
+
 // Answers each request with the next of the given replies; further requests get no response.
 struct ScriptedUpstream
 {
@@ -187,6 +197,62 @@
     CHECK(received.find("body of /2") != std::string::npos);
 }
 
+TEST_CASE("Each request that arrives while an earlier one is answered reaches the handler once and unchanged")
+{
+    // The next response is sent only after `count` requests were passed to the handler and the bytes of a later one have arrived.
+    constexpr std::size_t count = 6;
+    std::vector<Responder> pending;
+    TestServer server([&](const Request &, const Responder &responder) { pending.push_back(responder); });
+    auto socket = server.connect();
+    const auto request = [](std::size_t i) {
+        return "POST /" + std::to_string(i) + " HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\n" + std::to_string(i);
+    };
+    std::string received;
+    bool ended = false;
+    Asio::async_read(socket, Asio::dynamic_buffer(received), [&](const auto &, std::size_t) { ended = true; });
+    Asio::write(socket, Asio::buffer(request(0)));
+    for (std::size_t i = 0; i < count; ++i) {
+        REQUIRE(server.runUntil([&] { return pending.size() > i || ended; }));
+        REQUIRE_FALSE(ended);
+        Asio::write(socket, Asio::buffer(request(i + 1)));
+        // Lets the connection read the bytes before it answers.
+        server.loop.restart();
+        server.loop.run_for(std::chrono::milliseconds(5));
+        pending[i].send({.status = 200, .headers = {}, .body = {}, .keepAlive = true});
+    }
+    REQUIRE(server.runUntil([&] { return pending.size() > count || ended; }));
+    CHECK(summaryOf(server.requests) == "/0 0, /1 1, /2 2, /3 3, /4 4, /5 5, /6 6, ");
+    CHECK_FALSE(ended);
+}
+
+TEST_CASE("Pipelined requests that arrive in pieces of any size are answered in order")
+{
+    std::string bytes;
+    std::vector<Request> expected;
+    for (const auto size : {0, 1, 700, 20, 3000}) {
+        const auto i = std::to_string(expected.size());
+        const std::string body(static_cast<std::size_t>(size), i[0]);
+        bytes += encode(Request{.method = "POST", .target = "/" + i, .headers = {{"Host", "h"}}, .body = body});
+        expected.push_back({.method = "POST", .target = "/" + i, .headers = {}, .body = body});
+    }
+    for (const std::size_t piece : {std::size_t{1}, std::size_t{7}, std::size_t{64}, std::size_t{333}, std::size_t{1024}, bytes.size()}) {
+        CAPTURE(piece);
+        TestServer server(answerOk);
+        auto socket = server.connect();
+        for (std::size_t i = 0; i < bytes.size(); i += piece) {
+            Asio::write(socket, Asio::buffer(std::string(bytes.substr(i, piece))));
+            server.loop.restart();
+            server.loop.poll();
+        }
+        std::string received;
+        bool ended = false;
+        Asio::async_read(socket, Asio::dynamic_buffer(received), [&](const auto &, std::size_t) { ended = true; });
+        CHECK(server.runUntil([&] { return server.requests.size() == expected.size() || ended; }));
+        CHECK(summaryOf(server.requests) == summaryOf(expected));
+        CHECK_FALSE(ended);
+    }
+}
+
 TEST_CASE("A chunked request body is decoded completely")
 {
     TestServer server(answerOk);
