Server connection: the limits that hold when a request begins apply to it, also on a kept connection

What callers saw: after a version of the routes that raises max-header-bytes or max-body-bytes, the first request on each connection that was idle during the change was answered 431 or 413. After a longer idle-timeout such a connection was closed after the old one, though callers may use it for longer.

Cause: the limits were given to the parser, and the idle timer set, when the connection became idle, not when the request began. An idle connection lasts through a change of version; Listener::setLimits promises the new limits on open connections too.

Evidence: a request on a kept connection with a head or body of 2,000 bytes, after the limits went from 100 and 10 bytes to 4,000, does not reach the handler; a connection whose idle timeout is raised from 200 ms to 60 s is closed within 400 ms.

Fix: the parser gets its limits at the first byte of a request, and an idle timer that expires checks the timeout in force before the connection is closed.

--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -1,6 +1,7 @@
 #include "http/serverconnection.h"
 
 #include "core/text.h"
+#include "process/wallclock.h"
 
 #include <algorithm>
 #include <boost/asio/write.hpp>
@@ -80,8 +81,6 @@
     m_state = State::Reading;
     m_parser.emplace();
     m_parser->eager(true);
-    m_parser->header_limit(m_listener->limits.maxHeaderBytes);
-    m_parser->body_limit(m_listener->limits.maxBodyBytes);
     m_requestStarted = false;
     m_continueSent = false;
     if (m_buffer.size() > 0) {
@@ -92,6 +91,7 @@
         close();
         return;
     }
+    m_idleSince = Process::steadyNow();
     startTimer(m_listener->limits.idleTimeout);
     read();
 }
@@ -100,6 +100,8 @@
 {
     if (!m_requestStarted) {
         m_requestStarted = true;
+        m_parser->header_limit(m_listener->limits.maxHeaderBytes);
+        m_parser->body_limit(m_listener->limits.maxBodyBytes);
         startTimer(m_listener->limits.headerTimeout);
     }
     while (m_buffer.size() > 0 && !m_parser->is_done()) {
@@ -313,7 +315,13 @@
         return;
     }
     if (!m_requestStarted) {
-        close();
+        // The timeout may have been raised since the timer was set.
+        const auto left = m_idleSince + m_listener->limits.idleTimeout - Process::steadyNow();
+        if (left > 0_ms) {
+            startTimer(left);
+        } else {
+            close();
+        }
         return;
     }
     ++m_listener->counters.timedOut;
--- a/src/http/serverconnection.h
+++ b/src/http/serverconnection.h
@@ -136,6 +136,8 @@
     std::string m_writeBuffer;
     State m_state = State::Reading;
     std::uint64_t m_requestId = 0;
+    /// When the connection was last without a request, on the steady clock.
+    Millis m_idleSince{};
     bool m_readPending = false;
     bool m_requestStarted = false;
     bool m_continueSent = false;
--- a/tests/http/exchange.cpp
+++ b/tests/http/exchange.cpp
@@ -290,6 +290,40 @@
     CHECK(server.requests.empty());
 }
 
+TEST_CASE("A request on a connection that was idle during a change of limits is checked against the new ones")
+{
+    for (const auto &request : {encode(Request{.method = "GET", .target = "/long", .headers = {{"X", std::string(2000, 'x')}}, .body = {}}),
+                                encode(Request{.method = "POST", .target = "/large", .headers = {}, .body = std::string(2000, 'x')})}) {
+        TestServer server(answerOk);
+        server.listener.setLimits({.maxHeaderBytes = 100, .maxBodyBytes = 10});
+        auto socket = server.connect();
+        Asio::write(socket, Asio::buffer(std::string("GET /first HTTP/1.1\r\nHost: h\r\n\r\n")));
+        std::string received;
+        bool ended = false;
+        Asio::async_read(socket, Asio::dynamic_buffer(received), [&](const auto &, std::size_t) { ended = true; });
+        REQUIRE(server.runUntil([&] { return server.requests.size() == 1; }));
+        // Lets the connection write its response and become idle.
+        server.loop.restart();
+        server.loop.run_for(std::chrono::milliseconds(5));
+        server.listener.setLimits({.maxHeaderBytes = 4000, .maxBodyBytes = 4000});
+        Asio::write(socket, Asio::buffer(request));
+        CHECK(server.runUntil([&] { return server.requests.size() == 2 || ended; }));
+        CHECK(server.requests.size() == 2);
+    }
+}
+
+TEST_CASE("An idle connection is kept for the idle timeout that is in force, not for an earlier one")
+{
+    TestServer server(answerOk);
+    server.listener.setLimits({.idleTimeout = 200_ms});
+    auto socket = server.connect();
+    REQUIRE(server.runUntil([&] { return server.listener.connectionCount() == 1; }));
+    server.listener.setLimits({.idleTimeout = 60_s});
+    server.loop.restart();
+    server.loop.run_for(std::chrono::milliseconds(400));
+    CHECK(server.listener.connectionCount() == 1);
+}
+
 TEST_CASE("An incomplete request is rejected with 408 after the header timeout")
 {
     TestServer server(answerOk);
