--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -1,6 +1,7 @@
 #include "http/serverconnection.h"
 
 #include "core/text.h"
+#include "process/wallclock.h"
 
 #include <algorithm>
 #include <boost/asio/write.hpp>
@@ -15,7 +16,6 @@
 namespace Asio = boost::asio;
 namespace Beast = boost::beast::http;
 
-constexpr std::size_t readSizeBytes = 16384;
 // Limit for pipelined bytes that are buffered while a response is pending.
 constexpr std::size_t maxPipelinedBytes = 65536;
 // Time for the client to read the last response before the connection is closed. Closing a socket with unread data resets the
@@ -81,8 +81,6 @@
     m_state = State::Reading;
     m_parser.emplace();
     m_parser->eager(true);
-    m_parser->header_limit(m_listener->limits.maxHeaderBytes);
-    m_parser->body_limit(m_listener->limits.maxBodyBytes);
     m_requestStarted = false;
     m_continueSent = false;
     if (m_buffer.size() > 0) {
@@ -93,6 +91,7 @@
         close();
         return;
     }
+    m_idleSince = Process::steadyNow();
     startTimer(m_listener->limits.idleTimeout);
     read();
 }
@@ -101,6 +100,8 @@
 {
     if (!m_requestStarted) {
         m_requestStarted = true;
+        m_parser->header_limit(m_listener->limits.maxHeaderBytes);
+        m_parser->body_limit(m_listener->limits.maxBodyBytes);
         startTimer(m_listener->limits.headerTimeout);
     }
     while (m_buffer.size() > 0 && !m_parser->is_done()) {
@@ -152,8 +153,7 @@
         return;
     }
     m_readPending = true;
-    m_socket.async_read_some(m_buffer.prepare(readSizeBytes),
-                             [self = shared_from_this()](const auto &ec, std::size_t n) { self->onRead(ec, n); });
+    m_socket.async_read_some(Asio::buffer(m_received), [self = shared_from_this()](const auto &ec, std::size_t n) { self->onRead(ec, n); });
 }
 
 void ServerConnection::onRead(const boost::system::error_code &ec, std::size_t n)
@@ -166,7 +166,7 @@
         onClientDisconnected();
         return;
     }
-    m_buffer.commit(n);
+    m_buffer.commit(Asio::buffer_copy(m_buffer.prepare(n), Asio::buffer(m_received, n)));
     switch (m_state) {
     case State::Reading:
         parseBuffered();
@@ -315,7 +315,13 @@
         return;
     }
     if (!m_requestStarted) {
-        close();
+        // The timeout may have been raised since the timer was set.
+        const auto left = m_idleSince + m_listener->limits.idleTimeout - Process::steadyNow();
+        if (left > 0_ms) {
+            startTimer(left);
+        } else {
+            close();
+        }
         return;
     }
     ++m_listener->counters.timedOut;
