Fetch the configuration from a running member even if a dead one is as far ahead

Callers kept being served by an old configuration: a daemon that does not read the log did not fetch a change while a dead or left member with the same offset stood first in the order of host names.

fetchConfigIfBehind() took the first member with the highest offset and gave up if that one was not running. Dead members stay listed for 20 minutes with the offset that they last announced, so a reader that announced a change and died hid all running members with that change.

findConfigSource() considers running members only. It is a function of the core now, so that it can be tested without sockets.

The test failed with the old condition, moved into the function unchanged: "A dead member with the highest offset does not keep its change from being fetched from a running one", REQUIRE( nullptr != nullptr ). Found by reading, not seen in a run of the whole system.

--- a/src/daemon/control.cpp
+++ b/src/daemon/control.cpp
@@ -1,6 +1,7 @@
 #include "daemon/control.h"
 
 #include "core/config/address.h"
+#include "core/membership/configsource.h"
 #include "core/text.h"
 #include "daemon/hostlist.h"
 #include "net/peerclient.h"
@@ -299,13 +300,9 @@
     if (m_configFetchRunning) {
         return;
     }
-    const auto ownOffset = m_config.position().offset;
     const auto others = m_membership.others();
-    const auto mostAdvanced
-        = std::max_element(others.begin(), others.end(), [](const auto &a, const auto &b) { return a.config.offset < b.config.offset; });
-    if (mostAdvanced != others.end() && mostAdvanced->config.offset > ownOffset
-        && mostAdvanced->state <= Membership::MemberState::Leaving) {
-        fetchConfigFrom(*mostAdvanced);
+    if (const auto *source = Membership::findConfigSource(others, m_config.position().offset)) {
+        fetchConfigFrom(*source);
     }
 }
 
