Append records of one stream while the record of another is refused

An append that fails stays pending, so the same record was tried for ever.

The streams now take turns. The test "A stream that refuses its record does not keep the records of other streams from the log" failed before: no record was appended in 30 s.

--- a/src/daemon/logoutbox.cpp
+++ b/src/daemon/logoutbox.cpp
@@ -90,12 +90,16 @@
 {
     std::unique_lock lock(m_mutex);
     Millis backoff = initialBackoff;
+    std::string lastStream;
     while (true) {
         m_changed.wait(lock, [this] { return m_stopping || !m_pending.empty(); });
         if (m_stopping) {
             return;
         }
-        const auto [stream, record] = *m_pending.begin();
+        // Streams take turns, so that one whose record is refused does not delay the others.
+        const auto following = m_pending.upper_bound(lastStream);
+        const auto [stream, record] = following == m_pending.end() ? *m_pending.begin() : *following;
+        lastStream = stream;
         lock.unlock();
         const auto result = m_log.append(stream, record, appendTimeout);
         lock.lock();
