--- a/src/entry/admin.cpp
+++ b/src/entry/admin.cpp
@@ -76,11 +76,15 @@
     std::vector<prometheus::ClientMetric> ages;
     std::vector<prometheus::ClientMetric> calls;
     std::vector<prometheus::ClientMetric> failures;
+    std::vector<prometheus::ClientMetric> goneReads;
+    std::vector<prometheus::ClientMetric> staleSnapshots;
     for (std::size_t i = 0; i < topicCount; ++i) {
         const Labels labels{{"topic", i == 0 ? "routes" : "upstreams"}};
         ages.push_back(sample(state.topics[i].contactAge.count / 1000, labels));
         calls.push_back(sample(static_cast<double>(state.topics[i].storeCounters.requests), labels));
         failures.push_back(sample(static_cast<double>(state.topics[i].storeCounters.failures), labels));
+        goneReads.push_back(sample(static_cast<double>(state.topics[i].storeCounters.goneReads), labels));
+        staleSnapshots.push_back(sample(static_cast<double>(state.topics[i].storeCounters.staleSnapshots), labels));
     }
     addFamily(
         families, "laburnummast_store_age_seconds", "Age of the newest word of the store.", prometheus::MetricType::Gauge, std::move(ages));
@@ -90,6 +94,16 @@
               "Calls to the store that failed.",
               prometheus::MetricType::Counter,
               std::move(failures));
+    addFamily(families,
+              "laburnummast_store_gone_reads_total",
+              "Reads of records that the store no longer has.",
+              prometheus::MetricType::Counter,
+              std::move(goneReads));
+    addFamily(families,
+              "laburnummast_store_stale_snapshots_total",
+              "Snapshots that end before the known position.",
+              prometheus::MetricType::Counter,
+              std::move(staleSnapshots));
     addGauge(families, "laburnummast_routes_version", "Version of the routes in force.", static_cast<double>(state.routesVersion));
     addGauge(families, "laburnummast_upstreams", "Upstreams known.", static_cast<double>(state.upstreamCount));
     addGauge(families, "laburnummast_members", "Daemons that live.", static_cast<double>(state.servingMemberCount));
@@ -110,6 +124,8 @@
                         topic.isReading ? "yes" : "no",
                         " age-ms=",
                         static_cast<std::int64_t>(topic.contactAge.count),
+                        " era=",
+                        topic.storeEra,
                         "\n");
 }
 
--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -82,22 +82,33 @@
                              .longPollWait = m_readerTimeouts.longPollWait,
                              .randomSeed = static_cast<std::uint64_t>(m_startedAt.count * 1000) + static_cast<std::uint64_t>(topic)},
         followed.feed,
-        TopicFollower::Events{.onContact = [this, topic] { recordContact(topic, Process::steadyNow(), true); },
-                              .onRecords =
-                                  [this](std::size_t n) {
-                                      if (n > 0) {
-                                          sendReport(true);
-                                      }
-                                      scheduleViewUpdate();
-                                  },
-                              .onFailure =
-                                  [this, topic](std::string_view reason) {
-                                      if (followedTopic(topic).follower->consecutiveFailures() == 1) {
-                                          logWarning(
-                                              "store-read-failed",
-                                              {{"topic", textOf(static_cast<std::int64_t>(topic))}, {"reason", std::string(reason)}});
-                                      }
-                                  }});
+        TopicFollower::Events{
+            .onContact = [this, topic] { recordContact(topic, Process::steadyNow(), true); },
+            .onRecords =
+                [this](std::size_t n) {
+                    if (n > 0) {
+                        sendReport(true);
+                    }
+                    scheduleViewUpdate();
+                },
+            .onFailure =
+                [this, topic](std::string_view reason) {
+                    if (followedTopic(topic).follower->consecutiveFailures() == 1) {
+                        logWarning("store-read-failed",
+                                   {{"topic", textOf(static_cast<std::int64_t>(topic))}, {"reason", std::string(reason)}});
+                    }
+                },
+            .onNewEra =
+                [this, topic](std::int64_t era) {
+                    logInfo("store-era",
+                            {{"topic", textOf(static_cast<std::int64_t>(topic))},
+                             {"era", textOf(era)},
+                             {"position", textOf(followedTopic(topic).feed.end())}});
+                },
+            .onRecordsGone =
+                [topic](std::int64_t offset) {
+                    logWarning("store-records-gone", {{"topic", textOf(static_cast<std::int64_t>(topic))}, {"offset", textOf(offset)}});
+                }});
 }
 
 void Control::recordContact(Topic topic, Millis at, bool isDirect)
@@ -415,6 +426,7 @@
                            .hasSnapshot = followed.feed.hasSnapshot(),
                            .isReading = followed.follower && followed.follower->active(),
                            .contactAge = now - followed.lastContactAt.value_or(m_startedAt),
+                           .storeEra = followed.follower ? followed.follower->storeEra() : 0,
                            .storeCounters = followed.follower ? followed.follower->counters() : TopicFollowerCounters{}};
         state.storeUnreachable = state.storeUnreachable || followed.storeUnreachable;
     }
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -37,6 +37,8 @@
         bool isReading = false;
         /// Time since the last contact with the store, direct or through a peer; time since the start of this daemon if there was none.
         Millis contactAge;
+        /// Highest era that the store has stated to this daemon.
+        std::int64_t storeEra = 0;
         TopicFollowerCounters storeCounters;
     };
 
--- a/src/entry/topicfollower.cpp
+++ b/src/entry/topicfollower.cpp
@@ -99,11 +99,21 @@
              if (const auto *error = std::get_if<Http::ClientError>(&result)) {
                  handleFailure(Http::nameOf(*error));
              } else {
-                 onResponse(std::get<Http::Response>(result));
+                 const auto &response = std::get<Http::Response>(result);
+                 handleEra(response);
+                 onResponse(response);
              }
          }});
 }
 
+void TopicFollower::handleEra(const Http::Response &response)
+{
+    if (const auto era = Platform::storeEra(response); era > m_storeEra) {
+        m_storeEra = era;
+        m_events.onNewEra(era);
+    }
+}
+
 void TopicFollower::requestSnapshotPage()
 {
     sendRequest(Platform::snapshotRequest(m_options.topic, m_lastSnapshotKey), responseTimeout, [this](const Http::Response &response) {
@@ -135,6 +145,7 @@
     m_snapshotRecords.clear();
     m_lastSnapshotKey.clear();
     m_needsSnapshot = false;
+    m_counters.staleSnapshots += page.end < m_feed.end() ? 1 : 0;
     m_events.onRecords(m_feed.applySnapshot(records, page.end));
     startNextRequest();
 }
@@ -152,6 +163,10 @@
     auto decoded = Platform::decodeLogRecords(response, from);
     if (const auto *error = std::get_if<Platform::StoreError>(&decoded)) {
         if (*error == Platform::StoreError::RecordsGone) {
+            ++m_counters.goneReads;
+            if (++m_consecutiveGoneReads == 1) {
+                m_events.onRecordsGone(from);
+            }
             m_needsSnapshot = true;
             startNextRequest();
             return;
@@ -161,6 +176,7 @@
     }
     const auto &log = std::get<Platform::LogRecords>(decoded);
     handleContact();
+    m_consecutiveGoneReads = 0;
     m_counters.unreadableRecords += log.unreadableCount;
     if (log.nextOffset > from) {
         m_events.onRecords(m_feed.apply(log.records, log.nextOffset));
--- a/src/entry/topicfollower.h
+++ b/src/entry/topicfollower.h
@@ -39,6 +39,10 @@
     std::uint64_t failures = 0;
     /// Always 0 at present.
     std::uint64_t records = 0;
+    /// Reads of records that the store no longer has.
+    std::uint64_t goneReads = 0;
+    /// Snapshots that end before the position of the feed.
+    std::uint64_t staleSnapshots = 0;
     /// Records from which no key could be read.
     std::uint64_t unreadableRecords = 0;
 };
@@ -57,6 +61,10 @@
         std::function<void(std::size_t records)> onRecords;
         /// A request failed and will be repeated.
         std::function<void(std::string_view reason)> onFailure;
+        /// The offsets of the store belong to a later era than before.
+        std::function<void(std::int64_t era)> onNewEra;
+        /// The store no longer has the record at an offset; called for the first such read since a successful one.
+        std::function<void(std::int64_t offset)> onRecordsGone;
     };
 
     TopicFollower(boost::asio::io_context &loop, TopicFollowerOptions options, Feed::KeyedFeed &feed, Events events);
@@ -75,6 +83,11 @@
     {
         return m_consecutiveFailures;
     }
+    /// Highest era that the store has stated.
+    std::int64_t storeEra() const
+    {
+        return m_storeEra;
+    }
     const TopicFollowerCounters &counters() const
     {
         return m_counters;
@@ -86,6 +99,7 @@
     void sendRequest(const Http::Request &request, Millis timeout, std::function<void(const Http::Response &)> onResponse);
     void requestSnapshotPage();
     void requestRecords();
+    void handleEra(const Http::Response &response);
     void handleSnapshotPage(const Http::Response &response);
     void handleRecords(const Http::Response &response, std::int64_t from);
     void handleFailure(std::string_view reason);
@@ -109,6 +123,8 @@
     /// Number of the current activation; results of requests from earlier ones are ignored.
     std::uint64_t m_activation = 0;
     int m_consecutiveFailures = 0;
+    int m_consecutiveGoneReads = 0;
+    std::int64_t m_storeEra = 0;
     TopicFollowerCounters m_counters;
 };
 
--- a/src/platform/storeprotocol.cpp
+++ b/src/platform/storeprotocol.cpp
@@ -120,6 +120,12 @@
     return "keyed.servers";
 }
 
+std::int64_t storeEra(const Http::Response &response)
+{
+    const auto era = Http::find(response.headers, "Store-Era");
+    return era ? Text::parseInteger(*era).value_or(0) : 0;
+}
+
 // Only part 0 of a topic is read, here and in logReadRequest().
 Http::Request snapshotRequest(std::string_view topic, std::string_view afterKey)
 {
--- a/tests/platform/storeprotocol.cpp
+++ b/tests/platform/storeprotocol.cpp
@@ -71,6 +71,13 @@
     CHECK(std::get<StoreError>(decodeSnapshotPage({.body = "{}"})) == StoreError::Malformed);
 }
 
+TEST_CASE("The era of the store is read from every response, and a response that does not state it has era 0")
+{
+    CHECK(storeEra({.status = 410, .headers = {{"store-era", "3"}}}) == 3);
+    CHECK(storeEra({.headers = {}}) == 0);
+    CHECK(storeEra({.headers = {{"Store-Era", "unreadable"}}}) == 0);
+}
+
 TEST_CASE("A snapshot page is decoded and states whether more records follow")
 {
     const auto decoded = decodeSnapshotPage({.body = R"({"items":[{"key":"config","value":"YWJj","offset":4}],"more":true,"end":6})"});
