Compare positions in the store's log as pairs of era and offset

Cause: positions were bare offsets, compared as if the log only grew. Once the offsets had been given out again, the records at the offsets in between were skipped. Reports and records between daemons compared the same offsets.

Fix: the header is read from every answer, and a position is (era, offset) in the feed, in reports and in records. Daemons that do not read the store learn of the era with the position and the records of a peer. New fields are at the end, so daemons without them still read reports and records. A record that the new era leaves unchanged is not reported as a change, so that warm-up does not begin anew.

--- a/src/core/feed/keyedfeed.cpp
+++ b/src/core/feed/keyedfeed.cpp
@@ -13,11 +13,12 @@
 
 bool KeyedFeed::applyRecord(const KeyedRecord &record)
 {
-    auto &current = m_records[record.key];
+    const auto [it, isNew] = m_records.try_emplace(record.key);
+    auto &current = it->second;
     if (record.offset <= current.offset) {
         return false;
     }
-    const bool changed = current.offset < 0 || current.value != record.value;
+    const bool changed = isNew || current.value != record.value;
     current = record;
     if (changed) {
         m_onChange(current);
@@ -25,33 +26,52 @@
     return true;
 }
 
-std::size_t KeyedFeed::apply(std::span<const KeyedRecord> records, std::int64_t end)
+void KeyedFeed::startEra(const LogPosition &end)
 {
+    m_era = end.era;
+    m_end = 0;
+    m_earliestDeltaOffset = end.offset;
+    for (auto &[key, it] : m_records) {
+        it.offset = -1;
+    }
+}
+
+std::size_t KeyedFeed::apply(std::span<const KeyedRecord> records, const LogPosition &end)
+{
+    if (end.era != m_era) {
+        return 0;
+    }
     const auto applied = std::count_if(records.begin(), records.end(), [&](const KeyedRecord &it) { return applyRecord(it); });
-    m_end = std::max(m_end, end);
+    m_end = std::max(m_end, end.offset);
     return static_cast<std::size_t>(applied);
 }
 
-std::size_t KeyedFeed::applySnapshot(std::span<const KeyedRecord> records, std::int64_t end)
+std::size_t KeyedFeed::applySnapshot(std::span<const KeyedRecord> records, const LogPosition &end)
 {
+    if (end.era < m_era) {
+        return 0;
+    }
+    if (end.era > m_era) {
+        startEra(end);
+    }
     auto applied
         = static_cast<std::size_t>(std::count_if(records.begin(), records.end(), [&](const KeyedRecord &it) { return applyRecord(it); }));
-    if (end >= m_end) {
+    if (end.offset >= m_end) {
         std::set<std::string_view> listedKeys;
         for (const auto &it : records) {
             listedKeys.insert(it.key);
         }
         for (auto &[key, it] : m_records) {
             // A record at or after the snapshot's end is newer than the snapshot.
-            if (it.value && it.offset < end && !listedKeys.contains(key)) {
-                it.offset = end - 1;
+            if (it.value && it.offset < end.offset && !listedKeys.contains(key)) {
+                it.offset = end.offset - 1;
                 it.value.reset();
                 m_onChange(it);
                 ++applied;
             }
         }
-        m_end = end;
-        m_earliestDeltaOffset = m_hasSnapshot ? m_earliestDeltaOffset : end;
+        m_end = end.offset;
+        m_earliestDeltaOffset = m_hasSnapshot ? m_earliestDeltaOffset : end.offset;
         m_hasSnapshot = true;
     }
     return applied;
@@ -59,14 +79,15 @@
 
 std::size_t KeyedFeed::applyDelta(const FeedDelta &delta)
 {
-    return delta.isSnapshot ? applySnapshot(delta.records, delta.end) : apply(delta.records, delta.end);
+    return delta.isSnapshot ? applySnapshot(delta.records, delta.position()) : apply(delta.records, delta.position());
 }
 
-FeedDelta KeyedFeed::deltaSince(std::int64_t from) const
+FeedDelta KeyedFeed::deltaSince(const LogPosition &from) const
 {
-    FeedDelta delta{.end = m_end, .isSnapshot = from < m_earliestDeltaOffset || from == 0, .records = {}};
+    const bool isSnapshot = from.era != m_era || from.offset < m_earliestDeltaOffset || from.offset == 0;
+    FeedDelta delta{.end = m_end, .isSnapshot = isSnapshot, .records = {}, .era = m_era};
     for (const auto &[key, it] : m_records) {
-        if (delta.isSnapshot ? it.value.has_value() : it.offset >= from) {
+        if (delta.isSnapshot ? it.value.has_value() : it.offset >= from.offset) {
             delta.records.push_back(it);
         }
     }
--- a/src/entry/admin.cpp
+++ b/src/entry/admin.cpp
@@ -125,7 +125,7 @@
                         " age-ms=",
                         static_cast<std::int64_t>(topic.contactAge.count),
                         " era=",
-                        topic.storeEra,
+                        topic.era,
                         "\n");
 }
 
--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -52,7 +52,7 @@
               settings,
               {.onMember = [this](const Membership::MemberChanged &it) { handleMemberChange(it); },
                .onReport = [this](const PeerReport &it) { handleReport(it); },
-               .recordsSince = [this](Topic topic, std::int64_t from) { return followedTopic(topic).feed.deltaSince(from); },
+               .recordsSince = [this](Topic topic, const Feed::LogPosition &from) { return followedTopic(topic).feed.deltaSince(from); },
                .onRecords = [this](Topic topic, const Feed::FeedDelta &delta) { applyPeerRecords(topic, delta); }})
     , m_timer(loop)
     , m_startedAt(Process::steadyNow())
@@ -225,7 +225,8 @@
         report.feeds[i] = {.end = followed.feed.end(),
                            .hasSnapshot = followed.feed.hasSnapshot(),
                            .isReading = followed.follower->active() && followed.follower->consecutiveFailures() == 0,
-                           .contactAge = now - followed.lastContactAt.value_or(Millis{-1e12})};
+                           .contactAge = now - followed.lastContactAt.value_or(Millis{-1e12}),
+                           .era = followed.feed.position().era};
     }
     for (auto &[key, it] : m_outcomes) {
         report.observations.outcomes.push_back(std::move(it));
@@ -244,10 +245,12 @@
     for (const auto topic : {Topic::Routes, Topic::Upstreams}) {
         const auto &peerPosition = report.feeds[static_cast<std::size_t>(topic)];
         auto &followed = followedTopic(topic);
-        const bool peerIsAhead = peerPosition.hasSnapshot && (peerPosition.end > followed.feed.end() || !followed.feed.hasSnapshot());
+        const bool peerIsAhead
+            = peerPosition.hasSnapshot && (peerPosition.position() > followed.feed.position() || !followed.feed.hasSnapshot());
         if (peerIsAhead) {
-            m_peers.fetchRecords(topic, followed.feed.hasSnapshot() ? followed.feed.end() : 0, recordsAddressOf(report));
-        } else if (peerPosition.hasSnapshot && peerPosition.end == followed.feed.end()) {
+            m_peers.fetchRecords(
+                topic, followed.feed.hasSnapshot() ? followed.feed.position() : Feed::LogPosition{}, recordsAddressOf(report));
+        } else if (peerPosition.hasSnapshot && peerPosition.position() == followed.feed.position()) {
             // Contact through a peer is as old as the peer's own. It counts only at the same position, because it does not cover
             // records that this daemon has not fetched yet.
             recordContact(topic, now - peerPosition.contactAge, false);
@@ -270,7 +273,8 @@
     logInfo("records-from-peer",
             {{"topic", textOf(static_cast<std::int64_t>(topic))},
              {"records", textOf(static_cast<std::int64_t>(n))},
-             {"position", textOf(delta.end)}});
+             {"position", textOf(delta.end)},
+             {"era", textOf(delta.era)}});
     scheduleViewUpdate();
 }
 
@@ -422,11 +426,11 @@
     const auto now = Process::steadyNow();
     for (std::size_t i = 0; i < topicCount; ++i) {
         const auto &followed = *m_topics[i];
-        state.topics[i] = {.end = followed.feed.end(),
+        state.topics[i] = {.era = followed.feed.position().era,
+                           .end = followed.feed.end(),
                            .hasSnapshot = followed.feed.hasSnapshot(),
                            .isReading = followed.follower && followed.follower->active(),
                            .contactAge = now - followed.lastContactAt.value_or(m_startedAt),
-                           .storeEra = followed.follower ? followed.follower->storeEra() : 0,
                            .storeCounters = followed.follower ? followed.follower->counters() : TopicFollowerCounters{}};
         state.storeUnreachable = state.storeUnreachable || followed.storeUnreachable;
     }
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -29,6 +29,8 @@
     /// Progress of this daemon in one topic of the store.
     struct TopicState
     {
+        /// Era of the store's offsets.
+        std::int64_t era = 0;
         /// Offset after the last applied record.
         std::int64_t end = 0;
         /// Whether a snapshot of the topic has been applied.
@@ -37,8 +39,6 @@
         bool isReading = false;
         /// Time since the last contact with the store, direct or through a peer; time since the start of this daemon if there was none.
         Millis contactAge;
-        /// Highest era that the store has stated to this daemon.
-        std::int64_t storeEra = 0;
         TopicFollowerCounters storeCounters;
     };
 
--- a/src/entry/peerlink.cpp
+++ b/src/entry/peerlink.cpp
@@ -1,15 +1,10 @@
 #include "entry/peerlink.h"
 
-#include "core/boundedarchive.h"
 #include "core/text.h"
 #include "process/wallclock.h"
 
 #include <algorithm>
-#include <cereal/archives/portable_binary.hpp>
-#include <cereal/types/string.hpp>
-#include <cereal/types/vector.hpp>
 #include <chrono>
-#include <sstream>
 #include <xxhash.h>
 
 namespace Laburnummast::Entry
@@ -215,7 +210,7 @@
     return *pool;
 }
 
-void PeerLink::fetchRecords(Topic topic, std::int64_t from, const Address &peer)
+void PeerLink::fetchRecords(Topic topic, const Feed::LogPosition &from, const Address &peer)
 {
     const auto index = static_cast<std::size_t>(topic);
     if (m_fetching[index] || m_stopped) {
@@ -224,8 +219,10 @@
     m_fetching[index] = true;
     ++m_counters.fetches;
     const auto connection = clientPoolOf(peer).acquire(Process::steadyNow());
-    const Http::Request request{
-        .method = "GET", .target = Text::concat("/records?topic=", index, "&from=", from), .headers = {{"Host", peer.ip}}, .body = {}};
+    const Http::Request request{.method = "GET",
+                                .target = Text::concat("/records?topic=", index, "&from=", from.offset, "&era=", from.era),
+                                .headers = {{"Host", peer.ip}},
+                                .body = {}};
     connection->start({.bytes = Http::encode(request),
                        .timeout = fetchTimeout,
                        .matchesRequest = nullptr,
@@ -237,13 +234,10 @@
                                return;
                            }
                            clientPoolOf(peer).release(connection);
-                           // The archive reports truncated bytes and lengths beyond their end only by exceptions.
-                           try {
-                               BoundedInputArchive archive(response->body);
-                               Feed::FeedDelta delta;
-                               archive(delta);
-                               m_events.onRecords(topic, delta);
-                           } catch (const cereal::Exception &) {
+                           const auto decoded = decodeRecords(response->body);
+                           if (const auto *delta = std::get_if<Feed::FeedDelta>(&decoded)) {
+                               m_events.onRecords(topic, *delta);
+                           } else {
                                ++m_counters.unreadableMessages;
                            }
                        }});
@@ -257,12 +251,10 @@
         responder.send({.status = 400, .headers = {}, .body = {}});
         return;
     }
-    std::ostringstream stream;
-    {
-        cereal::PortableBinaryOutputArchive archive(stream);
-        archive(m_events.recordsSince(static_cast<Topic>(*topic), *from));
-    }
-    responder.send({.status = 200, .headers = {{"Content-Type", "application/octet-stream"}}, .body = stream.str()});
+    // An older daemon does not state the era.
+    const auto era = Text::parseInteger(Http::queryParameter(request.target, "era").value_or("")).value_or(0);
+    const auto delta = m_events.recordsSince(static_cast<Topic>(*topic), {.era = era, .offset = *from});
+    responder.send({.status = 200, .headers = {{"Content-Type", "application/octet-stream"}}, .body = encodeRecords(delta)});
 }
 
 void PeerLink::announceRoutesVersion(std::int64_t version)
--- a/src/entry/peerlink.h
+++ b/src/entry/peerlink.h
@@ -43,8 +43,8 @@
     std::function<void(const Membership::MemberChanged &)> onMember;
     /// A report has arrived.
     std::function<void(const PeerReport &)> onReport;
-    /// Returns the records from an offset on, which another daemon requested.
-    std::function<Feed::FeedDelta(Topic, std::int64_t from)> recordsSince;
+    /// Returns the records from a position on, which another daemon requested.
+    std::function<Feed::FeedDelta(Topic, const Feed::LogPosition &from)> recordsSince;
     /// The records that fetchRecords() requested have arrived.
     std::function<void(Topic, const Feed::FeedDelta &)> onRecords;
 };
@@ -77,8 +77,8 @@
     std::optional<Address> start();
     /// Sends a report to every peer, or to some if there are many and `toAll` is not set.
     void sendReport(const PeerReport &report, bool toAll);
-    /// Requests the records of a topic from the offset `from` on; does nothing while another request for the topic is in flight.
-    void fetchRecords(Topic topic, std::int64_t from, const Address &peer);
+    /// Requests the records of a topic from the position `from` on; does nothing while another request for the topic is in flight.
+    void fetchRecords(Topic topic, const Feed::LogPosition &from, const Address &peer);
     /// Announces the version of the routes in force to the other members; -1 while this daemon is not ready.
     void announceRoutesVersion(std::int64_t version);
     /// Announces that this daemon is leaving; it continues to exchange data.
--- a/src/entry/peerreport.cpp
+++ b/src/entry/peerreport.cpp
@@ -2,6 +2,7 @@
 
 #include "core/boundedarchive.h"
 
+#include <algorithm>
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/array.hpp>
 #include <cereal/types/string.hpp>
@@ -19,6 +20,8 @@
 {
     std::ostringstream stream;
     cereal::PortableBinaryOutputArchive archive(stream);
+    std::array<std::int64_t, topicCount> eras{};
+    std::transform(report.feeds.begin(), report.feeds.end(), eras.begin(), [](const FeedPosition &it) { return it.era; });
     // New fields are appended: older daemons read the fields that they know and ignore the rest.
     archive(reportFormat,
             report.host,
@@ -26,7 +29,8 @@
             report.recordsPort,
             report.feeds,
             report.observations.outcomes,
-            report.observations.contention);
+            report.observations.contention,
+            eras);
     return stream.str();
 }
 
@@ -62,10 +66,42 @@
         if (!archive.atEnd()) {
             archive(report.observations.contention);
         }
+        if (!archive.atEnd()) {
+            std::array<std::int64_t, topicCount> eras{};
+            archive(eras);
+            for (std::size_t i = 0; i < topicCount; ++i) {
+                report.feeds[i].era = eras[i];
+            }
+        }
         return report;
     } catch (const std::exception &) {
         return PeerReportError::Malformed;
     }
 }
 
+std::string encodeRecords(const Feed::FeedDelta &delta)
+{
+    std::ostringstream stream;
+    {
+        cereal::PortableBinaryOutputArchive archive(stream);
+        archive(delta.end, delta.isSnapshot, delta.records, delta.era);
+    }
+    return stream.str();
+}
+
+Result<Feed::FeedDelta, PeerReportError> decodeRecords(std::string_view bytes)
+{
+    try {
+        BoundedInputArchive archive(bytes);
+        Feed::FeedDelta delta;
+        archive(delta.end, delta.isSnapshot, delta.records);
+        if (!archive.atEnd()) {
+            archive(delta.era);
+        }
+        return delta;
+    } catch (const std::exception &) {
+        return PeerReportError::Malformed;
+    }
+}
+
 }
--- a/src/entry/peerreport.h
+++ b/src/entry/peerreport.h
@@ -1,6 +1,7 @@
 #ifndef LABURNUMMAST_ENTRY_PEERREPORT_H
 #define LABURNUMMAST_ENTRY_PEERREPORT_H
 
+#include "core/feed/keyedfeed.h"
 #include "core/millis.h"
 #include "core/placement/latencymodel.h"
 #include "core/result.h"
@@ -33,6 +34,13 @@
     bool isReading = false;
     /// Time since its last contact with the store, direct or through a peer.
     Millis contactAge;
+    /// Era of `end`; sent apart from the other fields, because older daemons do not know it.
+    std::int64_t era = 0;
+
+    Feed::LogPosition position() const
+    {
+        return {.era = era, .offset = end};
+    }
 
     template <class Archive>
     void serialize(Archive &archive)
@@ -94,7 +102,7 @@
     Observations observations;
 };
 
-/// Why a report cannot be decoded.
+/// Why a report or records cannot be decoded.
 enum class PeerReportError : std::uint8_t {
     TooLong,
     Malformed,
@@ -109,6 +117,11 @@
 /// Decodes a report; ignores fields that a newer daemon appended, and leaves those empty that an older one did not send.
 Result<PeerReport, PeerReportError> decodeReport(std::string_view bytes);
 
+/// Encodes the records that a daemon requested.
+std::string encodeRecords(const Feed::FeedDelta &delta);
+/// Decodes records; the era is 0 if an older daemon sent them.
+Result<Feed::FeedDelta, PeerReportError> decodeRecords(std::string_view bytes);
+
 }
 
 #endif
--- a/src/entry/topicfollower.cpp
+++ b/src/entry/topicfollower.cpp
@@ -100,18 +100,21 @@
                  handleFailure(Http::nameOf(*error));
              } else {
                  const auto &response = std::get<Http::Response>(result);
-                 handleEra(response);
+                 handleEra(Platform::storeEra(response));
                  onResponse(response);
              }
          }});
 }
 
-void TopicFollower::handleEra(const Http::Response &response)
+void TopicFollower::handleEra(std::int64_t era)
 {
-    if (const auto era = Platform::storeEra(response); era > m_storeEra) {
+    if (era > m_storeEra) {
         m_storeEra = era;
         m_events.onNewEra(era);
     }
+    if (era > m_feed.position().era) {
+        m_needsSnapshot = true;
+    }
 }
 
 void TopicFollower::requestSnapshotPage()
@@ -124,12 +127,19 @@
 void TopicFollower::handleSnapshotPage(const Http::Response &response)
 {
     auto decoded = Platform::decodeSnapshotPage(response);
-    if (const auto *error = std::get_if<Platform::StoreError>(&decoded)) {
+    const auto era = Platform::storeEra(response);
+    const auto *error = std::get_if<Platform::StoreError>(&decoded);
+    const bool isFirstPage = m_lastSnapshotKey.empty();
+    // Pages of two eras do not belong to one log.
+    const bool otherEra = era < std::max(m_storeEra, m_feed.position().era) || (!isFirstPage && era != m_snapshotEra);
+    if (error || otherEra) {
+        m_counters.staleSnapshots += error ? 0 : 1;
         m_snapshotRecords.clear();
         m_lastSnapshotKey.clear();
-        handleFailure(Platform::nameOf(*error));
+        handleFailure(error ? Platform::nameOf(*error) : "other-era");
         return;
     }
+    m_snapshotEra = era;
     auto &page = std::get<Platform::SnapshotPage>(decoded);
     const bool hasNextPage = page.hasMore && !page.records.empty();
     if (hasNextPage) {
@@ -145,27 +155,28 @@
     m_snapshotRecords.clear();
     m_lastSnapshotKey.clear();
     m_needsSnapshot = false;
-    m_counters.staleSnapshots += page.end < m_feed.end() ? 1 : 0;
-    m_events.onRecords(m_feed.applySnapshot(records, page.end));
+    const Feed::LogPosition end{.era = era, .offset = page.end};
+    m_counters.staleSnapshots += end < m_feed.position() ? 1 : 0;
+    m_events.onRecords(m_feed.applySnapshot(records, end));
     startNextRequest();
 }
 
 void TopicFollower::requestRecords()
 {
-    const auto from = m_feed.end();
-    sendRequest(Platform::logReadRequest(m_options.topic, from, m_options.longPollWait),
+    const auto from = m_feed.position();
+    sendRequest(Platform::logReadRequest(m_options.topic, from.offset, m_options.longPollWait),
                 m_options.longPollWait + responseTimeout,
                 [this, from](const Http::Response &response) { handleRecords(response, from); });
 }
 
-void TopicFollower::handleRecords(const Http::Response &response, std::int64_t from)
+void TopicFollower::handleRecords(const Http::Response &response, const Feed::LogPosition &from)
 {
-    auto decoded = Platform::decodeLogRecords(response, from);
+    auto decoded = Platform::decodeLogRecords(response, from.offset);
     if (const auto *error = std::get_if<Platform::StoreError>(&decoded)) {
         if (*error == Platform::StoreError::RecordsGone) {
             ++m_counters.goneReads;
             if (++m_consecutiveGoneReads == 1) {
-                m_events.onRecordsGone(from);
+                m_events.onRecordsGone(from.offset);
             }
             m_needsSnapshot = true;
             startNextRequest();
@@ -174,12 +185,22 @@
         handleFailure(Platform::nameOf(*error));
         return;
     }
+    const auto era = Platform::storeEra(response);
+    if (era < std::max(m_storeEra, m_feed.position().era)) {
+        handleFailure("other-era");
+        return;
+    }
+    if (era != from.era) {
+        // The requested offset belongs to an earlier era, so the records do not follow those of the feed.
+        startNextRequest();
+        return;
+    }
     const auto &log = std::get<Platform::LogRecords>(decoded);
     handleContact();
     m_consecutiveGoneReads = 0;
     m_counters.unreadableRecords += log.unreadableCount;
-    if (log.nextOffset > from) {
-        m_events.onRecords(m_feed.apply(log.records, log.nextOffset));
+    if (log.nextOffset > from.offset) {
+        m_events.onRecords(m_feed.apply(log.records, {.era = era, .offset = log.nextOffset}));
         startNextRequestAfter(batchDelay);
     } else {
         startNextRequest();
--- a/src/entry/topicfollower.h
+++ b/src/entry/topicfollower.h
@@ -41,7 +41,7 @@
     std::uint64_t records = 0;
     /// Reads of records that the store no longer has.
     std::uint64_t goneReads = 0;
-    /// Snapshots that end before the position of the feed.
+    /// Snapshots of an earlier era, or that end before the position of the feed in the same era.
     std::uint64_t staleSnapshots = 0;
     /// Records from which no key could be read.
     std::uint64_t unreadableRecords = 0;
@@ -49,7 +49,8 @@
 
 /// Applies the records of one topic of the store to a feed: first a snapshot, then the records that follow it.
 ///
-/// Failed requests are repeated with exponential backoff.
+/// A response of a later era makes a new snapshot necessary; one of an earlier era counts as failed. Failed requests are repeated with
+/// exponential backoff.
 class TopicFollower
 {
 public:
@@ -83,11 +84,6 @@
     {
         return m_consecutiveFailures;
     }
-    /// Highest era that the store has stated.
-    std::int64_t storeEra() const
-    {
-        return m_storeEra;
-    }
     const TopicFollowerCounters &counters() const
     {
         return m_counters;
@@ -99,9 +95,10 @@
     void sendRequest(const Http::Request &request, Millis timeout, std::function<void(const Http::Response &)> onResponse);
     void requestSnapshotPage();
     void requestRecords();
-    void handleEra(const Http::Response &response);
+    /// Notes the era of a response; a later one than that of the feed makes a new snapshot necessary.
+    void handleEra(std::int64_t era);
     void handleSnapshotPage(const Http::Response &response);
-    void handleRecords(const Http::Response &response, std::int64_t from);
+    void handleRecords(const Http::Response &response, const Feed::LogPosition &from);
     void handleFailure(std::string_view reason);
     /// Ends the backoff and reports contact with the store.
     void handleContact();
@@ -124,7 +121,10 @@
     std::uint64_t m_activation = 0;
     int m_consecutiveFailures = 0;
     int m_consecutiveGoneReads = 0;
+    /// Highest era that the store has stated.
     std::int64_t m_storeEra = 0;
+    /// Era of the snapshot pages received so far.
+    std::int64_t m_snapshotEra = 0;
     TopicFollowerCounters m_counters;
 };
 
--- a/src/platform/storeprotocol.h
+++ b/src/platform/storeprotocol.h
@@ -36,7 +36,7 @@
 std::string_view routesTopic();
 std::string_view upstreamsTopic();
 
-/// Era of the store's offsets: how often the store has returned from an older copy; 0 if the response does not state it.
+/// Era of the offsets in any response of the store; 0 if the response does not state it.
 std::int64_t storeEra(const Http::Response &response);
 
 /// One page of a snapshot, which has the latest record of every key of a topic.
--- a/tests/entry/peerreport.cpp
+++ b/tests/entry/peerreport.cpp
@@ -50,6 +50,39 @@
     REQUIRE(read != nullptr);
     CHECK(read->observations.outcomes.size() == 1);
     CHECK(read->observations.contention.empty());
+    CHECK(read->feeds[0].era == 0);
+}
+
+TEST_CASE("Positions of two eras stay apart in reports and records, also beside daemons that do not know eras")
+{
+    auto report = sampleReport();
+    report.feeds[1].era = 3;
+    const auto decoded = decodeReport(encodeReport(report));
+    REQUIRE(std::holds_alternative<PeerReport>(decoded));
+    CHECK(std::get<PeerReport>(decoded).feeds[0].position() == Feed::LogPosition{.era = 0, .offset = 77});
+    CHECK(std::get<PeerReport>(decoded).feeds[1].era == 3);
+
+    const Feed::FeedDelta delta{.end = 5, .isSnapshot = true, .records = {{.key = "a", .offset = 4, .value = "x"}}, .era = 2};
+    const auto records = decodeRecords(encodeRecords(delta));
+    REQUIRE(std::holds_alternative<Feed::FeedDelta>(records));
+    CHECK(std::get<Feed::FeedDelta>(records).position() == Feed::LogPosition{.era = 2, .offset = 5});
+    CHECK(std::get<Feed::FeedDelta>(records).records.size() == 1);
+
+    std::ostringstream stream;
+    cereal::PortableBinaryOutputArchive archive(stream);
+    archive(delta.end, delta.isSnapshot, delta.records);
+    const auto older = decodeRecords(stream.str());
+    REQUIRE(std::holds_alternative<Feed::FeedDelta>(older));
+    CHECK(std::get<Feed::FeedDelta>(older).position() == Feed::LogPosition{.era = 0, .offset = 5});
+    // An older daemon reads the fields that it knows from the start of the bytes.
+    CHECK(encodeRecords(delta).starts_with(stream.str()));
+}
+
+TEST_CASE("Truncated records are rejected")
+{
+    const auto bytes = encodeRecords({.end = 5, .isSnapshot = true, .records = {{.key = "a", .offset = 4, .value = "x"}}, .era = 2});
+    CHECK(std::holds_alternative<PeerReportError>(decodeRecords(bytes.substr(0, bytes.size() - 1))));
+    CHECK(std::holds_alternative<PeerReportError>(decodeRecords("")));
 }
 
 TEST_CASE("An encoded report fits into one datagram, however many observations it has")
--- a/tests/entry/wholepath.cpp
+++ b/tests/entry/wholepath.cpp
@@ -303,6 +303,61 @@
     CHECK(system.runUntil([&] { return system.call(0, "/r/x").status == 200; }));
 }
 
+TEST_CASE("Changes after the store returned from an older copy take effect on every daemon, also at offsets that were given out before")
+{
+    System system(2);
+    system.publishAll();
+    system.startNode(0);
+    system.startNode(1);
+    REQUIRE(system.ready(0));
+    REQUIRE(system.ready(1));
+    const auto versionIs = [&](std::uint64_t version) {
+        return system.runUntil([&] {
+            return system.node(0).controlState().routesVersion == version && system.node(1).controlState().routesVersion == version;
+        });
+    };
+    const auto copy = system.store().copy();
+    system.store().put(routesTopic, "config", routesJson(2, "s"));
+    system.store().put(routesTopic, "config", routesJson(3, "s"));
+    REQUIRE(versionIs(3));
+    SUBCASE("with a log that ends before the known offset")
+    {
+        system.store().restore(copy);
+        system.store().put(routesTopic, "config", routesJson(4, "s2"));
+        CHECK(versionIs(4));
+    }
+    SUBCASE("with a log that has grown beyond the known offset")
+    {
+        system.store().setMode(FakeStore::Mode::Unresponsive);
+        system.store().restore(copy);
+        system.store().put(routesTopic, "config", routesJson(4, "s2"));
+        system.store().put(routesTopic, "other", "x");
+        system.store().put(routesTopic, "other", "y");
+        system.store().put(routesTopic, "other", "z");
+        system.store().setMode(FakeStore::Mode::Normal);
+        CHECK(versionIs(4));
+    }
+    system.store().put(upstreamsTopic, "w0", system.upstreams[0]->registrationRecord("s2"));
+    for (const int n : {0, 1}) {
+        CHECK(system.runUntil([&] { return system.call(n, "/r/x").status == 200; }));
+    }
+}
+
+TEST_CASE("An older version of the routes in a copy of the store does not replace the version in force")
+{
+    System system(1);
+    system.publishAll();
+    system.startNode(0);
+    REQUIRE(system.ready(0));
+    const auto copy = system.store().copy();
+    system.store().put(routesTopic, "config", routesJson(3, "s"));
+    REQUIRE(system.runUntil([&] { return system.node(0).controlState().routesVersion == 3; }));
+    system.store().restore(copy);
+    CHECK(system.runUntil([&] { return system.node(0).controlState().topics[0].era == 2; }));
+    CHECK(system.node(0).controlState().topics[0].end == 1);
+    CHECK(system.node(0).controlState().routesVersion == 3);
+}
+
 TEST_CASE("While the store does not answer, calls are served and a new daemon gets all records from its peer")
 {
     System system(2);
--- a/tests/platform/fakestore.h
+++ b/tests/platform/fakestore.h
@@ -18,12 +18,22 @@
 namespace Laburnummast::Tests
 {
 
-/// Test double of the platform's store with keyed topics, long-poll reads, expired records and outages.
+/// Test double of the platform's store with keyed topics, long-poll reads, expired records, outages and returns from a copy.
 ///
 /// All members must be used on the thread of the event loop.
 class FakeStore
 {
+    struct Topic
+    {
+        /// Keys and values; an empty value removes the key.
+        std::vector<std::pair<std::string, std::string>> log;
+        /// Records before this offset can no longer be read from the log.
+        std::size_t firstOffset = 0;
+    };
+
 public:
+    using Copy = std::map<std::string, Topic>;
+
     /// How the store responds to requests.
     enum class Mode {
         Normal,
@@ -70,6 +80,25 @@
     {
         m_topics[topic].firstOffset = m_topics[topic].log.size();
     }
+    Copy copy() const
+    {
+        return m_topics;
+    }
+    /// Returns to an earlier copy: later records are lost, and their offsets are given out again in the next era.
+    void restore(const Copy &copy)
+    {
+        m_topics = copy;
+        ++m_era;
+        for (const auto &it : std::exchange(m_waitingReads, {})) {
+            it.timer->cancel();
+            send(it.responder, 503, {});
+        }
+    }
+    /// Whether responses state the era.
+    void setEraStated(bool stated)
+    {
+        m_eraStated = stated;
+    }
     void setMode(Mode mode)
     {
         m_mode = mode;
@@ -81,14 +110,6 @@
     }
 
 private:
-    struct Topic
-    {
-        /// Keys and values; an empty value removes the key.
-        std::vector<std::pair<std::string, std::string>> log;
-        /// Records before this offset can no longer be read from the log.
-        std::size_t firstOffset = 0;
-    };
-
     /// A read of records that do not exist yet.
     struct WaitingRead
     {
@@ -107,6 +128,15 @@
         return text;
     }
 
+    void send(const Http::Responder &responder, int status, std::string body) const
+    {
+        Http::Headers headers;
+        if (m_eraStated) {
+            headers.push_back({"Store-Era", std::to_string(m_era)});
+        }
+        responder.send({.status = status, .headers = std::move(headers), .body = std::move(body), .keepAlive = true});
+    }
+
     void handleRequest(const std::string &target, const Http::Responder &responder)
     {
         ++m_requestCount;
@@ -114,17 +144,17 @@
             return;
         }
         if (m_mode != Mode::Normal) {
-            responder.send({.status = m_mode == Mode::Throttling ? 429 : 503, .headers = {}, .body = {}, .keepAlive = true});
+            send(responder, m_mode == Mode::Throttling ? 429 : 503, {});
             return;
         }
         const auto topic = Http::queryParameter(target, "topic").value_or("");
         if (Http::pathOf(target) == "/laburnummast/log-newest") {
-            responder.send({.status = 200, .headers = {}, .body = snapshotBody(topic), .keepAlive = true});
+            send(responder, 200, snapshotBody(topic));
         } else if (Http::pathOf(target) == "/laburnummast/log-read") {
             const auto from = static_cast<std::size_t>(Text::parseInteger(Http::queryParameter(target, "from").value_or("")).value_or(0));
             handleRead(topic, from, responder);
         } else {
-            responder.send({.status = 404, .headers = {}, .body = {}, .keepAlive = true});
+            send(responder, 404, {});
         }
     }
 
@@ -155,12 +185,12 @@
     void handleRead(const std::string &topic, std::size_t from, const Http::Responder &responder)
     {
         auto &state = m_topics[topic];
-        if (from < state.firstOffset) {
-            responder.send({.status = 410, .headers = {}, .body = Text::concat(R"({"first":)", state.firstOffset, "}"), .keepAlive = true});
+        if (from < state.firstOffset || from > state.log.size()) {
+            send(responder, 410, Text::concat(R"({"first":)", state.firstOffset, "}"));
             return;
         }
         if (from < state.log.size()) {
-            responder.send({.status = 200, .headers = {}, .body = logBody(topic, from), .keepAlive = true});
+            send(responder, 200, logBody(topic, from));
             return;
         }
         // Waits this long, whatever wait time the request states.
@@ -168,7 +198,7 @@
         m_waitingReads.push_back({.topic = topic, .from = from, .responder = responder, .timer = timer});
         timer->async_wait([this, topic, from, responder, timer](const auto &ec) {
             if (!ec) {
-                responder.send({.status = 200, .headers = {}, .body = logBody(topic, from), .keepAlive = true});
+                send(responder, 200, logBody(topic, from));
             }
         });
     }
@@ -192,7 +222,7 @@
         for (const auto &it : m_waitingReads) {
             if (it.topic == topic) {
                 it.timer->cancel();
-                it.responder.send({.status = 200, .headers = {}, .body = logBody(topic, it.from), .keepAlive = true});
+                send(it.responder, 200, logBody(topic, it.from));
             }
         }
         std::erase_if(m_waitingReads, [&](const WaitingRead &it) { return it.topic == topic; });
@@ -203,6 +233,8 @@
     std::map<std::string, Topic> m_topics;
     std::vector<WaitingRead> m_waitingReads;
     Mode m_mode = Mode::Normal;
+    std::int64_t m_era = 1;
+    bool m_eraStated = true;
     int m_requestCount = 0;
 };
 
