--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -53,7 +53,7 @@
               {.onMember = [this](const Membership::MemberChanged &it) { handleMemberChange(it); },
                .onReport = [this](const PeerReport &it) { handleReport(it); },
                .currentReport = [this] { return positionReport(); },
-               .recordsSince = [this](Topic topic, std::int64_t from) { return followedTopic(topic).feed.deltaSince(from); },
+               .recordsSince = [this](Topic topic, const Feed::LogPosition &from) { return followedTopic(topic).feed.deltaSince(from); },
                .onRecords = [this](Topic topic, const Feed::FeedDelta &delta) { applyPeerRecords(topic, delta); }})
     , m_timer(loop)
     , m_startedAt(Process::steadyNow())
@@ -83,22 +83,33 @@
                              .longPollWait = m_readerTimeouts.longPollWait,
                              .randomSeed = static_cast<std::uint64_t>(m_startedAt.count * 1000) + static_cast<std::uint64_t>(topic)},
         followed.feed,
-        TopicFollower::Events{.onContact = [this, topic] { recordContact(topic, Process::steadyNow(), true); },
-                              .onRecords =
-                                  [this](std::size_t n) {
-                                      if (n > 0) {
-                                          sendReport(true);
-                                      }
-                                      scheduleViewUpdate();
-                                  },
-                              .onFailure =
-                                  [this, topic](std::string_view reason) {
-                                      if (followedTopic(topic).follower->consecutiveFailures() == 1) {
-                                          logWarning(
-                                              "store-read-failed",
-                                              {{"topic", textOf(static_cast<std::int64_t>(topic))}, {"reason", std::string(reason)}});
-                                      }
-                                  }});
+        TopicFollower::Events{
+            .onContact = [this, topic] { recordContact(topic, Process::steadyNow(), true); },
+            .onRecords =
+                [this](std::size_t n) {
+                    if (n > 0) {
+                        sendReport(true);
+                    }
+                    scheduleViewUpdate();
+                },
+            .onFailure =
+                [this, topic](std::string_view reason) {
+                    if (followedTopic(topic).follower->consecutiveFailures() == 1) {
+                        logWarning("store-read-failed",
+                                   {{"topic", textOf(static_cast<std::int64_t>(topic))}, {"reason", std::string(reason)}});
+                    }
+                },
+            .onNewEra =
+                [this, topic](std::int64_t era) {
+                    logInfo("store-era",
+                            {{"topic", textOf(static_cast<std::int64_t>(topic))},
+                             {"era", textOf(era)},
+                             {"position", textOf(followedTopic(topic).feed.end())}});
+                },
+            .onRecordsGone =
+                [topic](std::int64_t offset) {
+                    logWarning("store-records-gone", {{"topic", textOf(static_cast<std::int64_t>(topic))}, {"offset", textOf(offset)}});
+                }});
 }
 
 void Control::recordContact(Topic topic, Millis at, bool isDirect)
@@ -214,7 +225,8 @@
         report.feeds[i] = {.end = followed.feed.end(),
                            .hasSnapshot = followed.feed.hasSnapshot(),
                            .isReading = followed.follower->active() && followed.follower->consecutiveFailures() == 0,
-                           .contactAge = now - followed.lastContactAt.value_or(Millis{-1e12})};
+                           .contactAge = now - followed.lastContactAt.value_or(Millis{-1e12}),
+                           .era = followed.feed.position().era};
     }
     return report;
 }
@@ -240,10 +252,12 @@
     for (const auto topic : {Topic::Routes, Topic::Upstreams}) {
         const auto &peerPosition = report.feeds[static_cast<std::size_t>(topic)];
         auto &followed = followedTopic(topic);
-        const bool peerIsAhead = peerPosition.hasSnapshot && (peerPosition.end > followed.feed.end() || !followed.feed.hasSnapshot());
+        const bool peerIsAhead
+            = peerPosition.hasSnapshot && (peerPosition.position() > followed.feed.position() || !followed.feed.hasSnapshot());
         if (peerIsAhead) {
-            m_peers.fetchRecords(topic, followed.feed.hasSnapshot() ? followed.feed.end() : 0, recordsAddressOf(report));
-        } else if (peerPosition.hasSnapshot && peerPosition.end == followed.feed.end()) {
+            m_peers.fetchRecords(
+                topic, followed.feed.hasSnapshot() ? followed.feed.position() : Feed::LogPosition{}, recordsAddressOf(report));
+        } else if (peerPosition.hasSnapshot && peerPosition.position() == followed.feed.position()) {
             // Contact through a peer is as old as the peer's own. It counts only at the same position, because it does not cover
             // records that this daemon has not fetched yet.
             recordContact(topic, now - peerPosition.contactAge, false);
@@ -266,7 +280,8 @@
     logInfo("records-from-peer",
             {{"topic", textOf(static_cast<std::int64_t>(topic))},
              {"records", textOf(static_cast<std::int64_t>(n))},
-             {"position", textOf(delta.end)}});
+             {"position", textOf(delta.end)},
+             {"era", textOf(delta.era)}});
     scheduleViewUpdate();
 }
 
@@ -418,7 +433,8 @@
     const auto now = Process::steadyNow();
     for (std::size_t i = 0; i < topicCount; ++i) {
         const auto &followed = *m_topics[i];
-        state.topics[i] = {.end = followed.feed.end(),
+        state.topics[i] = {.era = followed.feed.position().era,
+                           .end = followed.feed.end(),
                            .hasSnapshot = followed.feed.hasSnapshot(),
                            .isReading = followed.follower && followed.follower->active(),
                            .contactAge = now - followed.lastContactAt.value_or(m_startedAt),
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -29,6 +29,8 @@
     /// Progress of this daemon in one topic of the store.
     struct TopicState
     {
+        /// Era of the store's offsets.
+        std::int64_t era = 0;
         /// Offset after the last applied record.
         std::int64_t end = 0;
         /// Whether a snapshot of the topic has been applied.
--- a/src/entry/peerlink.cpp
+++ b/src/entry/peerlink.cpp
@@ -1,17 +1,12 @@
 #include "entry/peerlink.h"
 
-#include "core/boundedarchive.h"
 #include "core/text.h"
 #include "http/contentcoding.h"
 #include "process/log.h"
 #include "process/wallclock.h"
 
 #include <algorithm>
-#include <cereal/archives/portable_binary.hpp>
-#include <cereal/types/string.hpp>
-#include <cereal/types/vector.hpp>
 #include <chrono>
-#include <sstream>
 #include <xxhash.h>
 
 namespace Laburnummast::Entry
@@ -247,7 +242,7 @@
     return *pool;
 }
 
-void PeerLink::fetchRecords(Topic topic, std::int64_t from, const Address &peer)
+void PeerLink::fetchRecords(Topic topic, const Feed::LogPosition &from, const Address &peer)
 {
     const auto index = static_cast<std::size_t>(topic);
     if (m_fetching[index] || m_stopped) {
@@ -257,10 +252,11 @@
     ++m_counters.fetches;
     const auto startedAt = Process::steadyNow();
     const auto connection = clientPoolOf(peer).acquire(startedAt);
-    const Http::Request request{.method = "GET",
-                                .target = Text::concat("/records?topic=", index, "&from=", from, "&host=", m_settings.host),
-                                .headers = {{"Host", peer.ip}, {"Accept-Encoding", std::string(Http::compressedCoding)}},
-                                .body = {}};
+    const Http::Request request{
+        .method = "GET",
+        .target = Text::concat("/records?topic=", index, "&from=", from.offset, "&era=", from.era, "&host=", m_settings.host),
+        .headers = {{"Host", peer.ip}, {"Accept-Encoding", std::string(Http::compressedCoding)}},
+        .body = {}};
     connection->start({.bytes = Http::encode(request),
                        .timeout = fetchTimeout,
                        .progressTimeout = fetchProgressTimeout,
@@ -275,7 +271,7 @@
                            }
                            if (!response || response->status != 200) {
                                ++m_counters.failedFetches;
-                               logFailedFetch(topic, from, peer, Process::steadyNow() - startedAt, result);
+                               logFailedFetch(topic, from.offset, peer, Process::steadyNow() - startedAt, result);
                                return;
                            }
                            clientPoolOf(peer).release(connection);
@@ -291,16 +287,13 @@
         ++m_counters.unreadableMessages;
         return;
     }
-    // The archive reports truncated bytes and lengths beyond their end only by exceptions.
-    try {
-        BoundedInputArchive archive(*body);
-        Feed::FeedDelta delta;
-        archive(delta);
-        m_events.onRecords(topic, delta);
-    } catch (const cereal::Exception &) {
+    const auto decoded = decodeRecords(*body);
+    const auto *delta = std::get_if<Feed::FeedDelta>(&decoded);
+    if (!delta) {
         ++m_counters.unreadableMessages;
         return;
     }
+    m_events.onRecords(topic, *delta);
     if (m_uploads[static_cast<std::size_t>(topic)].needsRelays(response.body.size(), m_membership.serving().size())) {
         sendReport(m_events.currentReport(), false);
     }
@@ -322,12 +315,10 @@
         inviteWaitingPeers();
         return;
     }
-    std::ostringstream stream;
-    {
-        cereal::PortableBinaryOutputArchive archive(stream);
-        archive(m_events.recordsSince(static_cast<Topic>(*topic), *from));
-    }
-    Http::Response response{.status = 200, .headers = {{"Content-Type", "application/octet-stream"}}, .body = stream.str()};
+    // An older daemon does not state the era.
+    const auto era = Text::parseInteger(Http::queryParameter(request.target, "era").value_or("")).value_or(0);
+    const auto delta = m_events.recordsSince(static_cast<Topic>(*topic), {.era = era, .offset = *from});
+    Http::Response response{.status = 200, .headers = {{"Content-Type", "application/octet-stream"}}, .body = encodeRecords(delta)};
     if (response.body.size() >= minCompressedBytes && Http::acceptsCompressed(request)) {
         Http::compressBody(response);
     }
--- a/src/entry/topicfollower.h
+++ b/src/entry/topicfollower.h
@@ -39,13 +39,18 @@
     std::uint64_t failures = 0;
     /// Always 0 at present.
     std::uint64_t records = 0;
+    /// Reads of records that the store no longer has.
+    std::uint64_t goneReads = 0;
+    /// Snapshots of an earlier era, or that end before the position of the feed in the same era.
+    std::uint64_t staleSnapshots = 0;
     /// Records from which no key could be read.
     std::uint64_t unreadableRecords = 0;
 };
 
 /// Applies the records of one topic of the store to a feed: first a snapshot, then the records that follow it.
 ///
-/// Failed requests are repeated with exponential backoff.
+/// A response of a later era makes a new snapshot necessary; one of an earlier era counts as failed. Failed requests are repeated with
+/// exponential backoff.
 class TopicFollower
 {
 public:
@@ -57,6 +62,10 @@
         std::function<void(std::size_t records)> onRecords;
         /// A request failed and will be repeated.
         std::function<void(std::string_view reason)> onFailure;
+        /// The offsets of the store belong to a later era than before.
+        std::function<void(std::int64_t era)> onNewEra;
+        /// The store no longer has the record at an offset; called for the first such read since a successful one.
+        std::function<void(std::int64_t offset)> onRecordsGone;
     };
 
     TopicFollower(boost::asio::io_context &loop, TopicFollowerOptions options, Feed::KeyedFeed &feed, Events events);
@@ -86,8 +95,10 @@
     void sendRequest(const Http::Request &request, Millis timeout, std::function<void(const Http::Response &)> onResponse);
     void requestSnapshotPage();
     void requestRecords();
+    /// Notes the era of a response; a later one than that of the feed makes a new snapshot necessary.
+    void handleEra(std::int64_t era);
     void handleSnapshotPage(const Http::Response &response);
-    void handleRecords(const Http::Response &response, std::int64_t from);
+    void handleRecords(const Http::Response &response, const Feed::LogPosition &from);
     void handleFailure(std::string_view reason);
     /// Ends the backoff and reports contact with the store.
     void handleContact();
@@ -109,6 +120,11 @@
     /// Number of the current activation; results of requests from earlier ones are ignored.
     std::uint64_t m_activation = 0;
     int m_consecutiveFailures = 0;
+    int m_consecutiveGoneReads = 0;
+    /// Highest era that the store has stated.
+    std::int64_t m_storeEra = 0;
+    /// Era of the snapshot pages received so far.
+    std::int64_t m_snapshotEra = 0;
     TopicFollowerCounters m_counters;
 };
 
