Traffic: a daemon without routes refuses a request beyond the default limits with 503, not with 413 or 431

What callers saw: a daemon that has started and knows no routes yet answered 431 to a request with a head above 16,384 bytes, and 413 to one with a body above 64 MB, though the routes may allow both. Callers do not repeat after these statuses; a daemon without routes has to answer 503.

Cause: the size limits are part of the routes, and until these are known the listener applied its defaults as if they were in force.

Evidence: in the case of a daemon without routes a call with a head of 20,000 bytes is answered 431; the listener's own case gives 431 and 413. Both fail without the fix, 3 assertions.

Fix: limits can be marked as provisional. The request is still not read, so the daemon's memory stays bounded, but the status is 503, which promises that the call was not executed. The daemon's listener starts with provisional limits; those of the routes replace them.

--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -160,6 +160,7 @@
     , m_housekeepingTimer(loop)
     , m_random(XXH3_64bits(settings.host.data(), settings.host.size()))
 {
+    m_front.setLimits({.provisional = true});
 }
 
 Traffic::~Traffic() = default;
--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -207,6 +207,10 @@
     m_requestId = m_listener->nextRequestId++;
     m_keepAlive = false;
     m_headRequest = false;
+    // The limits that apply may allow this request.
+    if (m_listener->limits.provisional && (status == 413 || status == 431)) {
+        status = 503;
+    }
     respond(m_requestId, {.status = status, .headers = {}, .body = {}, .keepAlive = false});
 }
 
--- a/src/http/serverconnection.h
+++ b/src/http/serverconnection.h
@@ -27,6 +27,8 @@
     Millis headerTimeout{3000};
     /// How long a connection may stay open without a request.
     Millis idleTimeout{15000};
+    /// Whether the limits that apply are not known yet. A request beyond the sizes is then answered 503 instead of 413 or 431.
+    bool provisional = false;
 };
 
 /// Counts since the creation of a listener; they never decrease.
--- a/tests/entry/wholepath.cpp
+++ b/tests/entry/wholepath.cpp
@@ -197,6 +197,8 @@
     const auto answer = system.call(0, "/r/x");
     CHECK(answer.status == 503);
     CHECK(Http::find(answer.headers, "Retry-After").has_value());
+    // The routes, once known, may allow a longer head than the defaults.
+    CHECK(system.get(0, 0, "/r/x", {{"Laburnummast-Request-Id", "long"}, {"X", std::string(20000, 'x')}}).status == 503);
     system.publishAll();
     CHECK(system.ready(0));
 }
--- a/tests/http/exchange.cpp
+++ b/tests/http/exchange.cpp
@@ -324,6 +324,16 @@
     CHECK(server.listener.connectionCount() == 1);
 }
 
+TEST_CASE("A request beyond provisional limits is refused with 503, which allows the client to repeat it")
+{
+    TestServer server(answerOk);
+    server.listener.setLimits({.maxHeaderBytes = 100, .maxBodyBytes = 10, .provisional = true});
+    CHECK(server.exchangeRaw("GET / HTTP/1.1\r\nHost: h\r\nX: " + std::string(200, 'x') + "\r\n\r\n").find("HTTP/1.1 503") == 0);
+    CHECK(server.exchangeRaw("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 11\r\n\r\n").find("HTTP/1.1 503") == 0);
+    CHECK(server.exchangeRaw("NONSENSE\r\n\r\n").find("HTTP/1.1 400") == 0);
+    CHECK(server.requests.empty());
+}
+
 TEST_CASE("An incomplete request is rejected with 408 after the header timeout")
 {
     TestServer server(answerOk);
