Traffic: requests that are rejected before they are decoded are logged and counted by reason

What was seen: a request that the HTTP server itself answers with 400, 408, 413 or 431 left no log line and no metric, so reports of proper requests that were answered 4xx could not be traced to one of their possible origins.

Cause: ServerConnection answered such requests without telling its handler; its two counters were not exported.

Fix: the connection reports each rejected request to the handler with a typed reason, its status and the bytes received so far, and the listener counts by reason. Traffic logs it as call-rejected within the rate of the call log, and the metrics page has laburnummast_requests_rejected_total with a label for the reason.

Evidence: a new case sends one request for each reason and checks reason, status, size and count; it does not compile before, as there was nothing to observe. A daemon without routes counts the request with a long head.

--- a/src/entry/admin.cpp
+++ b/src/entry/admin.cpp
@@ -52,6 +52,16 @@
         ends.push_back(sample(static_cast<double>(counters.ended[i]), {{"end", std::string(nameOf(static_cast<CallEnd>(i)))}}));
     }
     addFamily(families, "laburnummast_calls_total", "Calls by how they ended.", prometheus::MetricType::Counter, std::move(ends));
+    std::vector<prometheus::ClientMetric> rejected;
+    for (std::size_t i = 0; i < Http::rejectReasonCount; ++i) {
+        rejected.push_back(
+            sample(static_cast<double>(counters.rejected[i]), {{"reason", std::string(nameOf(static_cast<Http::RejectReason>(i)))}}));
+    }
+    addFamily(families,
+              "laburnummast_requests_rejected_total",
+              "Requests rejected before they were decoded.",
+              prometheus::MetricType::Counter,
+              std::move(rejected));
     addCounter(families, "laburnummast_attempts_total", "Attempts sent to upstreams.", counters.placement.sent);
     addCounter(families, "laburnummast_retries_total", "Attempts after another one failed.", counters.placement.retries);
     addCounter(families, "laburnummast_hedges_total", "Attempts beside one that was late.", counters.placement.hedges);
--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -143,7 +143,8 @@
               {.onRequest = [this](Http::Request request,
                                    const Http::Responder &responder,
                                    std::uint64_t id) { handleRequest(std::move(request), responder, id); },
-               .onDisconnect = [this](std::uint64_t id) { handleCallerLeft(id); }})
+               .onDisconnect = [this](std::uint64_t id) { handleCallerLeft(id); },
+               .onReject = [this](const Http::RejectedRequest &request) { handleRejected(request); }})
     , m_readiness(
           loop,
           {.onRequest
@@ -314,6 +315,15 @@
     execute(service, actions);
 }
 
+void Traffic::handleRejected(const Http::RejectedRequest &request)
+{
+    m_callLog.write("call-rejected",
+                    steadyNow(),
+                    {{"reason", std::string(Http::nameOf(request.reason))},
+                     {"status", Text::concat(request.status)},
+                     {"received-bytes", Text::concat(request.receivedBytes)}});
+}
+
 void Traffic::execute(Service &service, const Dispatch::Actions &actions)
 {
     for (const auto &action : actions) {
@@ -658,6 +668,7 @@
 {
     const auto connections = m_connections.counters();
     TrafficCounters counters{.ended = m_endCounts,
+                             .rejected = m_front.counters().rejected,
                              .connectionsOpened = connections.opened,
                              .connectionsReused = connections.reused,
                              .suppressedLogLines = m_callLog.suppressedCount()};
--- a/src/entry/traffic.h
+++ b/src/entry/traffic.h
@@ -59,6 +59,8 @@
 {
     /// Indexed by `CallEnd`.
     std::array<std::uint64_t, callEndCount> ended{};
+    /// Requests of callers that were rejected before they were decoded, indexed by `Http::RejectReason`.
+    std::array<std::uint64_t, Http::rejectReasonCount> rejected{};
     std::uint64_t connectionsOpened = 0;
     std::uint64_t connectionsReused = 0;
     std::uint64_t suppressedLogLines = 0;
@@ -160,6 +162,7 @@
 
     void handleRequest(Http::Request request, const Http::Responder &responder, std::uint64_t id);
     void handleCallerLeft(std::uint64_t id);
+    void handleRejected(const Http::RejectedRequest &request);
     void serveEntryList(const Http::Request &request, const Http::Responder &responder) const;
     void serveReadiness(const Http::Request &request, const Http::Responder &responder) const;
     Service &serviceOf(const std::string &name);
--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -40,6 +40,36 @@
     return request;
 }
 
+RejectReason reasonOf(const boost::system::error_code &ec)
+{
+    if (ec == Beast::error::header_limit || ec == Beast::error::buffer_overflow) {
+        return RejectReason::HeadTooLarge;
+    }
+    return ec == Beast::error::body_limit ? RejectReason::BodyTooLarge : RejectReason::Malformed;
+}
+
+int statusOf(RejectReason reason, bool provisional)
+{
+    switch (reason) {
+    case RejectReason::Malformed:
+        return 400;
+    // Under provisional limits 503: the limits that apply may allow this request.
+    case RejectReason::HeadTooLarge:
+        return provisional ? 503 : 431;
+    case RejectReason::BodyTooLarge:
+        return provisional ? 503 : 413;
+    case RejectReason::Incomplete:
+        return 408;
+    }
+    return 400;
+}
+
+}
+
+std::string_view nameOf(RejectReason reason)
+{
+    constexpr std::array<std::string_view, rejectReasonCount> names{"malformed", "head-too-large", "body-too-large", "incomplete"};
+    return names[static_cast<std::size_t>(reason)];
 }
 
 Responder::Responder(std::weak_ptr<ServerConnection> connection, std::uint64_t requestId)
@@ -82,6 +112,7 @@
     m_parser.emplace();
     m_parser->eager(true);
     m_requestStarted = false;
+    m_parsedBytes = 0;
     m_continueSent = false;
     if (m_buffer.size() > 0) {
         parseBuffered();
@@ -108,13 +139,12 @@
         boost::system::error_code ec;
         const auto n = m_parser->put(m_buffer.data(), ec);
         m_buffer.consume(n);
+        m_parsedBytes += n;
         if (ec == Beast::error::need_more) {
             break;
         }
         if (ec) {
-            ++m_listener->counters.malformed;
-            const bool headTooLarge = ec == Beast::error::header_limit || ec == Beast::error::buffer_overflow;
-            reject(headTooLarge ? 431 : ec == Beast::error::body_limit ? 413 : 400);
+            reject(reasonOf(ec));
             return;
         }
         if (n == 0) {
@@ -129,8 +159,7 @@
         startTimer(m_listener->limits.headerTimeout);
         sendContinue();
     } else if (m_buffer.size() > m_listener->limits.maxHeaderBytes) {
-        ++m_listener->counters.malformed;
-        reject(431);
+        reject(RejectReason::HeadTooLarge);
         return;
     }
     read();
@@ -200,16 +229,17 @@
     m_listener->handler.onRequest(std::move(request), Responder(weak_from_this(), m_requestId), m_requestId);
 }
 
-void ServerConnection::reject(int status)
+void ServerConnection::reject(RejectReason reason)
 {
     m_timer.cancel();
     m_state = State::AwaitingResponse;
     m_requestId = m_listener->nextRequestId++;
     m_keepAlive = false;
     m_headRequest = false;
-    // The limits that apply may allow this request.
-    if (m_listener->limits.provisional && (status == 413 || status == 431)) {
-        status = 503;
+    ++m_listener->counters.rejected[static_cast<std::size_t>(reason)];
+    const auto status = statusOf(reason, m_listener->limits.provisional);
+    if (m_listener->handler.onReject) {
+        m_listener->handler.onReject({.reason = reason, .status = status, .receivedBytes = m_parsedBytes + m_buffer.size()});
     }
     respond(m_requestId, {.status = status, .headers = {}, .body = {}, .keepAlive = false});
 }
@@ -328,8 +358,7 @@
         }
         return;
     }
-    ++m_listener->counters.timedOut;
-    reject(408);
+    reject(RejectReason::Incomplete);
 }
 
 }
--- a/src/http/serverconnection.h
+++ b/src/http/serverconnection.h
@@ -14,6 +14,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string_view>
 
 namespace Laburnummast::Http
 {
@@ -31,6 +32,30 @@
     bool provisional = false;
 };
 
+/// Why a request was rejected before it was passed to the handler.
+enum class RejectReason : std::uint8_t {
+    /// The received bytes are not a valid HTTP request.
+    Malformed,
+    HeadTooLarge,
+    BodyTooLarge,
+    /// The request was not received completely in time.
+    Incomplete,
+};
+
+constexpr std::size_t rejectReasonCount = 4;
+/// Name of a reason in lower case with hyphens.
+std::string_view nameOf(RejectReason reason);
+
+/// A request that was rejected before it was passed to the handler.
+struct RejectedRequest
+{
+    RejectReason reason;
+    /// Status of the response.
+    int status;
+    /// Bytes of the request that were parsed or buffered.
+    std::uint64_t receivedBytes;
+};
+
 /// Counts since the creation of a listener; they never decrease.
 struct ServerCounters
 {
@@ -38,10 +63,8 @@
     std::uint64_t accepted = 0;
     /// Complete requests passed to the handler.
     std::uint64_t requests = 0;
-    /// Requests rejected as invalid or too large.
-    std::uint64_t malformed = 0;
-    /// Requests that were not received completely in time.
-    std::uint64_t timedOut = 0;
+    /// Requests rejected before they were passed to the handler, indexed by `RejectReason`.
+    std::array<std::uint64_t, rejectReasonCount> rejected{};
     /// Clients that disconnected before their response.
     std::uint64_t disconnected = 0;
 };
@@ -70,6 +93,8 @@
     std::function<void(Request, Responder, std::uint64_t id)> onRequest;
     /// Called when the client of the request `id` has closed its connection before the response.
     std::function<void(std::uint64_t id)> onDisconnect;
+    /// Called for each request that is rejected; may be unset.
+    std::function<void(const RejectedRequest &)> onReject = nullptr;
 };
 
 /// State that a listener shares with its connections.
@@ -119,7 +144,7 @@
     void read();
     void onRead(const boost::system::error_code &ec, std::size_t n);
     void dispatch();
-    void reject(int status);
+    void reject(RejectReason reason);
     void sendContinue();
     void onWritten(const boost::system::error_code &ec);
     void linger();
@@ -138,6 +163,8 @@
     std::string m_writeBuffer;
     State m_state = State::Reading;
     std::uint64_t m_requestId = 0;
+    /// Parsed bytes of the request that is being read.
+    std::uint64_t m_parsedBytes = 0;
     /// When the connection was last without a request, on the steady clock.
     Millis m_idleSince{};
     bool m_readPending = false;
--- a/tests/entry/wholepath.cpp
+++ b/tests/entry/wholepath.cpp
@@ -199,6 +199,7 @@
     CHECK(Http::find(answer.headers, "Retry-After").has_value());
     // The routes, once known, may allow a longer head than the defaults.
     CHECK(system.get(0, 0, "/r/x", {{"Laburnummast-Request-Id", "long"}, {"X", std::string(20000, 'x')}}).status == 503);
+    CHECK(system.node(0).trafficCounters().rejected[static_cast<std::size_t>(Http::RejectReason::HeadTooLarge)] == 1);
     system.publishAll();
     CHECK(system.ready(0));
 }
--- a/tests/http/exchange.cpp
+++ b/tests/http/exchange.cpp
@@ -33,7 +33,8 @@
                             ids.push_back(id);
                             answer(std::move(request), responder);
                         },
-                    .onDisconnect = [this](std::uint64_t id) { disconnected.push_back(id); }})
+                    .onDisconnect = [this](std::uint64_t id) { disconnected.push_back(id); },
+                    .onReject = [this](const RejectedRequest &request) { rejected.push_back(request); }})
     {
         REQUIRE_FALSE(listener.start(anyPort).has_value());
     }
@@ -73,6 +74,7 @@
     std::vector<Request> requests;
     std::vector<std::uint64_t> ids;
     std::vector<std::uint64_t> disconnected;
+    std::vector<RejectedRequest> rejected;
     Listener listener;
 };
 
@@ -342,6 +344,25 @@
     CHECK(server.requests.empty());
 }
 
+TEST_CASE("Each request that is rejected before the handler gets it is reported with its reason, status and size, and counted")
+{
+    TestServer server(answerOk);
+    server.listener.setLimits({.maxHeaderBytes = 1000, .maxBodyBytes = 10, .headerTimeout = 20_ms});
+    const std::string longHead = "GET / HTTP/1.1\r\nHost: h\r\nX: " + std::string(2000, 'x');
+    const std::string largeBody = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 11\r\n\r\n";
+    for (const auto &it : {std::string("NONSENSE\r\n\r\n"), longHead, largeBody, std::string("GET / HTTP/1.1\r\nHo")}) {
+        server.exchangeRaw(it);
+    }
+    std::string reports;
+    for (const auto &it : server.rejected) {
+        reports += std::string(nameOf(it.reason)) + " " + std::to_string(it.status) + " " + std::to_string(it.receivedBytes) + ", ";
+    }
+    CHECK(reports
+          == "malformed 400 12, head-too-large 431 " + std::to_string(longHead.size()) + ", body-too-large 413 "
+              + std::to_string(largeBody.size()) + ", incomplete 408 18, ");
+    CHECK(server.listener.counters().rejected == std::array<std::uint64_t, rejectReasonCount>{1, 1, 1, 1});
+}
+
 TEST_CASE("The handler is notified when a client disconnects before its response")
 {
     TestServer server([](const Request &, const Responder &) {});
