Keep every note in force when the log comes back from an older copy

After the log had come back from an older copy, new notes got 504 and were never in force: in a test with four daemons, the note published after the restore had no verdict and no daemon applied it within 30 s. A note that the log had lost was known to running daemons only; one that started from the log alone would not have had it.

A position was a bare offset. Offsets go back in a restore and are given out again, and LogTail, ConfigReplica and the membership all take a record or a state with a lower or equal offset as known. A read beyond the end was repeated as a failure.

When a read finds the log in a later era: - The first log reader enters it. What is in force stays; it reads the log again from the oldest offset whose note may be unknown. Known ids are repeats, so nothing is applied twice. A daemon that has accepted a note which it lacks appends the note again and keeps its own state until the note is there, so its state never goes back.

The log stand-in can copy its streams and return to the copy, with Store-Era in every response and 410 beyond the end.

Not covered: an accepted note that the new state lacks and whose record is buffered nowhere any more; readers that enter an era on both sides of a partition.

--- a/src/core/config/configstate.cpp
+++ b/src/core/config/configstate.cpp
@@ -269,6 +269,27 @@
     return Accepted{.noteId = note.id};
 }
 
+void ConfigState::enterEra(Offset firstRetained)
+{
+    const auto knownRecords = streamOffsetOf(m_offset + 1);
+    // Without stored outcomes, notes would be applied a second time, so no record before the oldest outcome is read again.
+    const auto oldestOutcome = m_outcomes.size() < maxOutcomes ? 0 : streamOffsetOf(m_outcomes.front().offset);
+    const auto next = std::max(oldestOutcome, std::min(knownRecords, streamOffsetOf(firstRetained)));
+    m_offset = firstOffsetOf(eraOf(firstRetained)) + next - 1;
+}
+
+std::vector<std::string> ConfigState::acceptedNotesMissingIn(const ConfigState &later) const
+{
+    const auto oldestKept = later.m_outcomes.size() < maxOutcomes ? noOffset : later.m_outcomes.front().offset;
+    std::vector<std::string> missing;
+    for (const auto &it : m_outcomes) {
+        if (it.accepted && it.offset >= oldestKept && later.findOutcome(it.id) == nullptr) {
+            missing.push_back(it.id);
+        }
+    }
+    return missing;
+}
+
 // The hashes of entities and outcomes are summed instead of chained, so that the cost of replacing one does not depend on their number.
 StateHash ConfigState::hash() const
 {
--- a/src/core/config/configstate.h
+++ b/src/core/config/configstate.h
@@ -126,11 +126,23 @@
     /// Applies the record at `offset`, which must be greater than every offset applied before.
     Verdict apply(Offset offset, std::string_view record);
 
+    /// Continues in a later era of the log, whose oldest retained record is at `firstRetained`.
+    ///
+    /// What is in force stays. The records whose notes may be unknown here follow the new offset; those known by their ids are repeats.
+    void enterEra(Offset firstRetained);
+    /// Ids of the notes accepted here that `later`, a state in a later era, lacks.
+    std::vector<std::string> acceptedNotesMissingIn(const ConfigState &later) const;
+
     /// Offset of the last record applied; `noOffset` if there is none.
     Offset offset() const
     {
         return m_offset;
     }
+    /// Era of the next record to apply.
+    std::int64_t era() const
+    {
+        return eraOf(m_offset + 1);
+    }
     /// Offset of the last accepted note; `noOffset` if there is none.
     Offset revision() const
     {
--- a/src/core/config/note.h
+++ b/src/core/config/note.h
@@ -14,11 +14,35 @@
 {
 
 /// Position of a record in the platform's log; also the revision of an entity that this record last changed.
+///
+/// The high bits hold the era of the log, the others the record's offset in its stream. A log that is restored from an older copy gives
+/// offsets out again, but in a later era, so that positions still only grow.
 using Offset = std::int64_t;
 
 /// Offset that refers to no record.
 constexpr Offset noOffset = -1;
 
+constexpr int eraShift = 40;
+constexpr std::int64_t maxEra = (std::int64_t{1} << (62 - eraShift)) - 1;
+
+/// Position of the first record of a stream in an era.
+constexpr Offset firstOffsetOf(std::int64_t era)
+{
+    return era << eraShift;
+}
+
+/// Era of a position.
+constexpr std::int64_t eraOf(Offset offset)
+{
+    return offset >> eraShift;
+}
+
+/// Offset in the stream of a position.
+constexpr std::int64_t streamOffsetOf(Offset offset)
+{
+    return offset & (firstOffsetOf(1) - 1);
+}
+
 /// Adds an entity that is not in force yet.
 struct AddEntity
 {
--- a/src/daemon/configreplica.cpp
+++ b/src/daemon/configreplica.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <iterator>
 #include <thread>
+#include <utility>
 
 namespace Laburnummast::Daemon
 {
@@ -93,17 +94,54 @@
     if (state.offset() <= position().offset) {
         return false;
     }
-    Process::logInfo("snapshot-taken", {{"offset", Text::concat(state.offset())}});
     {
         const std::lock_guard lock(m_mutex);
+        if (state.era() > m_state.era()) {
+            m_lostRecords = bufferedRecordsOf(m_state.acceptedNotesMissingIn(state));
+            if (!m_lostRecords.empty()) {
+                return false;
+            }
+        }
         m_state = std::move(state);
         m_recentRecords.clear();
         m_recentBytes = 0;
         m_recentAfter = m_state.offset();
     }
+    Process::logInfo("snapshot-taken", {{"offset", Text::concat(position().offset)}});
     return true;
 }
 
+void ConfigReplica::enterEra(Config::Offset firstRetained)
+{
+    const std::lock_guard lock(m_mutex);
+    m_state.enterEra(firstRetained);
+    m_recentRecords.clear();
+    m_recentBytes = 0;
+    m_recentAfter = m_state.offset();
+}
+
+std::vector<std::string> ConfigReplica::takeLostRecords()
+{
+    const std::lock_guard lock(m_mutex);
+    return std::exchange(m_lostRecords, {});
+}
+
+std::vector<std::string> ConfigReplica::bufferedRecordsOf(const std::vector<std::string> &noteIds) const
+{
+    std::vector<std::string> records;
+    if (noteIds.empty()) {
+        return records;
+    }
+    for (const auto &it : m_recentRecords) {
+        const auto parsed = Config::parseNote(it.data, "note");
+        const auto *note = std::get_if<Config::Note>(&parsed);
+        if (note != nullptr && std::find(noteIds.begin(), noteIds.end(), note->id) != noteIds.end()) {
+            records.push_back(it.data);
+        }
+    }
+    return records;
+}
+
 // Keeps a record for peers that lack only a few. Sending them a snapshot of a large configuration for each small change would
 // exceed the limit for control traffic.
 void ConfigReplica::addRecent(const Net::LogRecord &record)
--- a/src/daemon/configreplica.h
+++ b/src/daemon/configreplica.h
@@ -52,7 +52,13 @@
     /// Applies the records after the current offset; returns whether there were any.
     bool apply(const std::vector<Net::LogRecord> &records);
     /// Replaces the state by the snapshot's; returns false if it is invalid or not newer than the current state.
+    ///
+    /// A snapshot of a later era is also refused while it lacks a note accepted here whose record is still buffered.
     bool applySnapshot(const std::string &bytes);
+    /// Continues in a later era of the log, whose oldest retained record is at `firstRetained`; what is in force stays.
+    void enterEra(Config::Offset firstRetained);
+    /// Records of notes accepted here that were missing in the last snapshot of a later era; cleared by the call.
+    std::vector<std::string> takeLostRecords();
     /// Wakes waiting publish() calls; to be called once traffic uses the new configuration.
     void notifyWaiters();
 
@@ -83,6 +89,8 @@
 
 private:
     void addRecent(const Net::LogRecord &record);
+    /// Records of the notes with these ids that are buffered here; the caller must hold m_mutex.
+    std::vector<std::string> bufferedRecordsOf(const std::vector<std::string> &noteIds) const;
     void recordVerdict(const Config::Verdict &verdict, Config::Offset offset);
 
     mutable std::mutex m_mutex;
@@ -94,6 +102,7 @@
     std::size_t m_recentBytes = 0;
     /// Every record after this offset is in m_recentRecords.
     Config::Offset m_recentAfter = Config::noOffset;
+    std::vector<std::string> m_lostRecords;
     ConfigCounters m_counters;
 };
 
--- a/src/daemon/control.cpp
+++ b/src/daemon/control.cpp
@@ -25,6 +25,11 @@
 constexpr Millis peerRequestTimeout = 1_s;
 constexpr Millis configFetchTimeout = 3_s;
 constexpr Millis finalFlushTimeout = 2_s;
+// Pause after a peer's snapshot could not be used.
+constexpr Millis configFetchBackoff = 500_ms;
+constexpr Millis noteAppendTimeout = 1500_ms;
+// Time after which the next log reader enters a later era of the log if the one before it has not.
+constexpr Millis eraTakeoverInterval = 1500_ms;
 constexpr std::size_t maxHostListBytes = 4 << 20;
 // Rendezvous hashing of this key selects the members that read the log and the one that writes snapshots.
 constexpr std::string_view logReaderKey = "log-readers";
@@ -91,6 +96,15 @@
                          std::promise<bool> done;
                          boost::asio::post(m_context, [&] { done.set_value(applySnapshot(bytes)); });
                          return done.get_future().get();
+                     },
+                 .enterEra =
+                     [this](Config::Offset firstRetained, Millis waited) {
+                         std::promise<void> done;
+                         boost::asio::post(m_context, [&] {
+                             enterEra(firstRetained, waited);
+                             done.set_value();
+                         });
+                         done.get_future().wait();
                      }})
     , m_workers(workerThreads)
     , m_usageReporter(identity, m_peerKey, traffic, m_logOutbox, m_workers)
@@ -284,6 +298,38 @@
     return true;
 }
 
+// Members that enter an era on their own may differ in the notes that they knew before, so the first log reader does it once it knows
+// all that the others have, and the others fetch its state. Each further reader takes over after another interval.
+void Control::enterEra(Config::Offset firstRetained, Millis waited)
+{
+    if (Config::eraOf(firstRetained) <= Config::eraOf(m_config.position().offset + 1)) {
+        return;
+    }
+    const auto serving = m_membership.serving();
+    const auto readers = rendezvousMembers(logReaderKey, serving, static_cast<std::size_t>(m_settings.logReaderCount));
+    const auto self = std::find_if(readers.begin(), readers.end(), [this](const auto &it) { return it.info.host == m_settings.host; });
+    if (self == readers.end() && serving.size() > 1) {
+        return;
+    }
+    const bool behind = Membership::findConfigSource(m_membership.others(), m_config.position().offset) != nullptr;
+    const auto turns = static_cast<double>(std::distance(readers.begin(), self)) + (behind ? 1 : 0);
+    if (waited < eraTakeoverInterval * turns) {
+        return;
+    }
+    m_config.enterEra(firstRetained);
+    Process::logInfo("era-entered", {{"offset", Text::concat(m_config.position().offset)}});
+    m_lastSnapshotOffset = m_config.position().offset;
+    m_logOutbox.enqueueOrReplace(std::string(Net::snapshotStream), m_config.snapshot());
+    handleConfigChange();
+}
+
+void Control::restoreLostNotes()
+{
+    for (auto &record : m_config.takeLostRecords()) {
+        m_workers.post([this, record = std::move(record)] { (void)m_log.append(Net::noteStream, record, noteAppendTimeout); });
+    }
+}
+
 void Control::handleConfigChange()
 {
     // Waiting publish() calls are woken only after traffic uses the configuration.
@@ -297,7 +343,7 @@
 
 void Control::fetchConfigIfBehind()
 {
-    if (m_configFetchRunning) {
+    if (m_configFetchRunning || steadyNow() < m_nextConfigFetch) {
         return;
     }
     const auto others = m_membership.others();
@@ -317,7 +363,10 @@
             const auto *answer = std::get_if<Net::PeerReply>(&reply);
             const auto *config = answer == nullptr ? nullptr : std::get_if<Net::ConfigReply>(answer);
             if (config != nullptr && !config->snapshot.empty()) {
-                applySnapshot(config->snapshot);
+                if (!applySnapshot(config->snapshot)) {
+                    m_nextConfigFetch = steadyNow() + configFetchBackoff;
+                    restoreLostNotes();
+                }
             } else if (config != nullptr) {
                 applyRecords(config->records);
             }
--- a/src/daemon/control.h
+++ b/src/daemon/control.h
@@ -104,6 +104,10 @@
 
     void applyRecords(const std::vector<Net::LogRecord> &records);
     bool applySnapshot(const std::string &bytes);
+    /// Moves the configuration into a later era of the log if no other member is to do so; see LogTail::Handlers.
+    void enterEra(Config::Offset firstRetained, Millis waited);
+    /// Appends the notes again that a peer's snapshot of a later era lacks.
+    void restoreLostNotes();
     void handleConfigChange();
     void fetchConfigIfBehind();
     void fetchConfigFrom(const Membership::Member &member);
@@ -131,6 +135,7 @@
     Millis m_nextUsageShare;
     Millis m_nextUsageLog;
     Millis m_nextHostListPoll;
+    Millis m_nextConfigFetch;
 
     ConfigReplica m_config;
     mutable std::mutex m_selfMutex;
--- a/src/daemon/logtail.cpp
+++ b/src/daemon/logtail.cpp
@@ -87,6 +87,10 @@
         return false;
     }
     auto &records = std::get<Net::LogPage>(page);
+    if (Config::eraOf(records.next) != Config::eraOf(from)) {
+        return changeEra(records, from);
+    }
+    m_laterEraSeenAt.reset();
     if (records.first > from) {
         // The log has discarded records that were not applied here; only a snapshot that covers them closes the gap.
         const bool caughtUp = loadSnapshot() && m_handlers.position() + 1 >= records.first;
@@ -101,6 +105,23 @@
     return true;
 }
 
+bool LogTail::changeEra(const Net::LogPage &page, Config::Offset from)
+{
+    if (Config::eraOf(page.next) < Config::eraOf(from)) {
+        return false;
+    }
+    const auto now = Process::steadyNow();
+    if (!m_laterEraSeenAt) {
+        Process::logWarning("log-restored", {{"era", Text::concat(Config::eraOf(page.next))}, {"position", Text::concat(from - 1)}});
+        m_laterEraSeenAt = now;
+    }
+    m_handlers.enterEra(page.first, now - *m_laterEraSeenAt);
+    if (m_handlers.position() + 1 == from) {
+        sleepUnlessStopped(idleInterval);
+    }
+    return true;
+}
+
 bool LogTail::loadSnapshot()
 {
     const auto page = m_log.readLast(Net::snapshotStream, maxSnapshotsTried);
@@ -111,9 +132,8 @@
     m_snapshotsRead = true;
     const auto &records = std::get<Net::LogPage>(page).records;
     for (auto it = records.rbegin(); it != records.rend(); ++it) {
-        if (m_handlers.applySnapshot(it->data)) {
-            return true;
-        }
+        // A member that was behind may have appended an older snapshot after a newer one, so all of them are tried.
+        m_handlers.applySnapshot(it->data);
     }
     return true;
 }
--- a/src/daemon/logtail.h
+++ b/src/daemon/logtail.h
@@ -7,6 +7,7 @@
 #include <atomic>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -27,6 +28,9 @@
         std::function<void(std::vector<Net::LogRecord>)> applyRecords;
         /// Applies a snapshot; returns false if it is invalid or not newer than the current state.
         std::function<bool(const std::string &)> applySnapshot;
+        /// Called while the log is in a later era than the position, `waited` after the first such read; `firstRetained` is its oldest
+        /// record. Moves the position into that era, unless another member is to do so.
+        std::function<void(Config::Offset firstRetained, Millis waited)> enterEra;
     };
 
     /// `pollTimeout` is how long one read waits for new records.
@@ -73,6 +77,8 @@
     void run();
     /// Reads and applies the next records; returns false if the log cannot be read or a gap remains.
     bool readOnce();
+    /// Handles a read that found the log in another era than the position; returns false if that is an earlier one.
+    bool changeEra(const Net::LogPage &page, Config::Offset from);
     /// Applies the newest valid snapshot, if there is one; returns false only if the log cannot be read.
     bool loadSnapshot();
     void recordReachability(bool reachable);
@@ -90,6 +96,8 @@
     std::atomic<std::uint64_t> m_failures = 0;
     /// Whether the latest snapshots have been read at least once.
     bool m_snapshotsRead = false;
+    /// Time of the first read that found the log in a later era than the position.
+    std::optional<Millis> m_laterEraSeenAt;
     std::thread m_thread;
 };
 
--- a/src/net/logclient.h
+++ b/src/net/logclient.h
@@ -42,7 +42,7 @@
     }
 };
 
-/// Records of a stream that one read returned.
+/// Records of a stream that one read returned. All offsets include the era that the log stated.
 struct LogPage
 {
     /// Oldest offset that the log still retains.
@@ -61,6 +61,8 @@
     /// Appends a record and returns its offset.
     Result<Offset, LogError> append(std::string_view stream, std::string_view record, Millis timeout) const;
     /// Reads up to `maxRecords` records from offset `from` on; waits up to `wait` for the first.
+    ///
+    /// If the page is of a later era than `from`, its records need not follow those read before.
     Result<LogPage, LogError> read(std::string_view stream, Offset from, int maxRecords, Millis wait) const;
     /// Reads the last `maxRecords` records of a stream.
     Result<LogPage, LogError> readLast(std::string_view stream, int maxRecords) const;
--- a/src/standin/logservice.cpp
+++ b/src/standin/logservice.cpp
@@ -2,7 +2,6 @@
 
 #include "core/text.h"
 #include "process/wallclock.h"
-#include "standin/serve.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -26,6 +25,11 @@
 {
 }
 
+void LogService::respond(Net::ServerRequest &request, int status, std::string body, std::int64_t era) const
+{
+    Net::sendResponse(request, {.status = status, .headers = {{.name = "Store-Era", .value = Text::concat(era)}}, .body = std::move(body)});
+}
+
 void LogService::handle(Net::ServerRequest &request)
 {
     const auto parts = Text::split(request.path(), '/');
@@ -34,13 +38,13 @@
         return;
     }
     if (parts.size() != 4 || parts[1] != "streams" || parts[3] != "records") {
-        sendText(request, 404, "{}\n");
+        respond(request, 404, "{}\n", m_era);
         return;
     }
     std::this_thread::sleep_for(Process::toChrono({static_cast<double>(m_delayMs)}));
     if (m_outage) {
         request.closeAfterResponse();
-        sendText(request, 503, "{\"failure\":\"outage\"}\n");
+        respond(request, 503, "{\"failure\":\"outage\"}\n", m_era);
     } else if (request.method() == "POST") {
         append(request, std::string(parts[2]));
     } else {
@@ -48,14 +52,24 @@
     }
 }
 
-// A fault that the request does not name is switched off.
+// A fault that the request does not name is switched off. "copy=1" copies the streams, "restore=1" replaces them by that copy.
 void LogService::setFaults(Net::ServerRequest &request)
 {
     m_outage = integerParameter(request, "outage", 0) != 0;
     m_responsesToLose = static_cast<int>(integerParameter(request, "lose_answers", 0));
     m_delayMs = static_cast<int>(integerParameter(request, "slow_ms", 0));
+    {
+        const std::lock_guard lock(m_mutex);
+        if (integerParameter(request, "copy", 0) != 0) {
+            m_copiedStreams = m_streams;
+        }
+        if (integerParameter(request, "restore", 0) != 0) {
+            m_streams = m_copiedStreams;
+            ++m_era;
+        }
+    }
     m_streamsChanged.notify_all();
-    sendText(request, 200, "{}\n");
+    respond(request, 200, "{}\n", m_era);
 }
 
 void LogService::append(Net::ServerRequest &request, const std::string &streamName)
@@ -63,14 +77,16 @@
     constexpr std::size_t maxRecordBytes = 16 << 20;
     auto body = Net::readBody(request, maxRecordBytes);
     if (std::holds_alternative<Net::BodyError>(body)) {
-        sendText(request, 400, "{}\n");
+        respond(request, 400, "{}\n", m_era);
         return;
     }
     std::int64_t offset = 0;
+    std::int64_t era = 0;
     {
         const std::lock_guard lock(m_mutex);
         auto &stream = m_streams[streamName];
         offset = stream.nextOffset();
+        era = m_era;
         stream.records.push_back(std::move(std::get<std::string>(body)));
         if (stream.records.size() > m_maxRecordsPerStream) {
             stream.records.pop_front();
@@ -84,7 +100,7 @@
         request.closeAfterResponse();
         return;
     }
-    sendText(request, 200, Text::concat("{\"offset\":", offset, "}\n"));
+    respond(request, 200, Text::concat("{\"offset\":", offset, "}\n"), era);
 }
 
 void LogService::read(Net::ServerRequest &request, const std::string &streamName)
@@ -96,22 +112,27 @@
                                 : integerParameter(request, "from", 0);
     const auto maxRecords = newestCount > 0 ? newestCount : integerParameter(request, "max", 100);
     const Millis waitTime{static_cast<double>(integerParameter(request, "wait_ms", 0))};
-    // Long poll: waits until the stream has a record at or after the requested offset, an outage starts or the wait time ends.
-    m_streamsChanged.wait_for(lock, Process::toChrono(waitTime), [&] { return m_outage || m_streams[streamName].nextOffset() > from; });
+    // Long poll: waits until the stream no longer ends at the requested offset, the streams are restored, an outage starts or the wait
+    // time ends.
+    m_streamsChanged.wait_for(lock, Process::toChrono(waitTime), [&, era = m_era.load()] {
+        return m_outage || m_era != era || m_streams[streamName].nextOffset() != from;
+    });
     const auto &stream = m_streams[streamName];
+    const int status = from > stream.nextOffset() ? 410 : 200;
     nlohmann::json records = nlohmann::json::array();
     from = std::max(from, stream.firstOffset);
     for (auto offset = from; offset < stream.nextOffset() && offset < from + maxRecords; ++offset) {
         records.push_back(
             {{"offset", offset}, {"data", Text::toBase64(stream.records[static_cast<std::size_t>(offset - stream.firstOffset)])}});
     }
+    const std::int64_t era = m_era;
     const nlohmann::json page{{"first", stream.firstOffset}, {"next", stream.nextOffset()}, {"records", records}};
     lock.unlock();
     if (m_outage) {
-        sendText(request, 503, "{\"failure\":\"outage\"}\n");
+        respond(request, 503, "{\"failure\":\"outage\"}\n", m_era);
         return;
     }
-    sendText(request, 200, page.dump() + "\n");
+    respond(request, status, page.dump() + "\n", era);
 }
 
 }
--- a/src/standin/logservice.h
+++ b/src/standin/logservice.h
@@ -17,6 +17,7 @@
 /// In-memory stand-in for the platform's log service: streams of records with offsets and long polling.
 ///
 /// On /v1/streams/NAME/records, POST appends a record and GET reads records; any request to /fault sets the faults.
+/// Every response states the era in the header `Store-Era`; it rises by one when the streams are restored from an older copy.
 class LogService
 {
 public:
@@ -40,6 +41,7 @@
         }
     };
 
+    void respond(Net::ServerRequest &request, int status, std::string body, std::int64_t era) const;
     void setFaults(Net::ServerRequest &request);
     void append(Net::ServerRequest &request, const std::string &streamName);
     void read(Net::ServerRequest &request, const std::string &streamName);
@@ -48,6 +50,9 @@
     std::mutex m_mutex;
     std::condition_variable m_streamsChanged;
     std::map<std::string, Stream> m_streams;
+    /// Copy of the streams to restore.
+    std::map<std::string, Stream> m_copiedStreams;
+    std::atomic<std::int64_t> m_era = 0;
     /// Whether every request to a stream gets a response with status 503.
     std::atomic<bool> m_outage = false;
     /// Number of further appends that are carried out but get no response.
--- a/tests/config/configstate.cpp
+++ b/tests/config/configstate.cpp
@@ -154,3 +154,52 @@
     CHECK(accepted(state.apply(1, writeNote(note))));
     CHECK(planNote(state, std::get<Declarations>(declared), "plan-2", "ana").changes.empty());
 }
+
+TEST_CASE("After a restore of the log every accepted note stays in force, and no note appended since is skipped")
+{
+    rc::check([](std::uint8_t appended, std::uint8_t kept, std::uint8_t appendedSince) {
+        const std::size_t total = 1 + appended % 20;
+        std::vector<std::string> log;
+        ConfigState state;
+        for (std::size_t i = 0; i < total; ++i) {
+            log.push_back(noteText("n" + std::to_string(i), addOwner("o" + std::to_string(i))));
+            state.apply(static_cast<Offset>(i), log.back());
+        }
+        log.resize(kept % (total + 1));
+        for (int i = 0; i < appendedSince % 20; ++i) {
+            log.push_back(noteText("since" + std::to_string(i), addOwner("p" + std::to_string(i))));
+        }
+        state.enterEra(firstOffsetOf(1));
+        auto restarted = std::get<ConfigState>(ConfigState::readSnapshot(state.writeSnapshot()));
+        for (auto *it : {&state, &restarted}) {
+            for (auto next = streamOffsetOf(it->offset() + 1); next < static_cast<Offset>(log.size()); ++next) {
+                it->apply(firstOffsetOf(1) + next, log[static_cast<std::size_t>(next)]);
+            }
+        }
+        RC_ASSERT(state.entities().size() == total + appendedSince % 20);
+        RC_ASSERT(state.era() == 1);
+        RC_ASSERT(restarted.hash() == state.hash());
+    });
+}
+
+TEST_CASE("A state of a later era that lacks an accepted note is recognized")
+{
+    ConfigState behind;
+    behind.apply(0, noteText("base", addOwner("q")));
+    auto ahead = behind;
+    ahead.apply(1, noteText("lost", addOwner("r")));
+    ahead.apply(2, noteText("rejected", addOwner("r")));
+    behind.enterEra(firstOffsetOf(1));
+    CHECK(ahead.acceptedNotesMissingIn(behind) == std::vector<std::string>{"lost"});
+    behind.apply(firstOffsetOf(1) + 1, noteText("lost", addOwner("r")));
+    CHECK(ahead.acceptedNotesMissingIn(behind).empty());
+}
+
+TEST_CASE("Positions of a later era are greater than all of an earlier one")
+{
+    CHECK(firstOffsetOf(0) == 0);
+    CHECK(eraOf(firstOffsetOf(3) + 7) == 3);
+    CHECK(streamOffsetOf(firstOffsetOf(3) + 7) == 7);
+    CHECK(firstOffsetOf(1) > streamOffsetOf(-1));
+    CHECK(firstOffsetOf(maxEra) > 0);
+}
--- a/tests/daemon/configkeeper.cpp
+++ b/tests/daemon/configkeeper.cpp
@@ -52,3 +52,32 @@
     CHECK_FALSE(other.recordsSince(98));
     CHECK(other.recordsSince(99)->empty());
 }
+
+TEST_CASE("A snapshot of a later era that lacks a note accepted here is refused until the note is in the log again")
+{
+    boost::log::core::get()->set_logging_enabled(false);
+    Daemon::ConfigReplica ahead;
+    Daemon::ConfigReplica behind;
+    const auto records = makeRecords(3, 10);
+    ahead.apply(records);
+    behind.apply({records[0], records[1]});
+    behind.enterEra(Config::firstOffsetOf(1));
+    CHECK_FALSE(ahead.applySnapshot(behind.snapshot()));
+    CHECK(ahead.position().offset == 2);
+    CHECK(ahead.takeLostRecords() == std::vector<std::string>{records[2].data});
+    CHECK(ahead.takeLostRecords().empty());
+
+    behind.apply({{.offset = Config::firstOffsetOf(1) + 2, .data = records[2].data}});
+    CHECK(ahead.applySnapshot(behind.snapshot()));
+    CHECK(ahead.position() == behind.position());
+}
+
+TEST_CASE("A peer of the era before gets a snapshot instead of records whose offsets it cannot place")
+{
+    boost::log::core::get()->set_logging_enabled(false);
+    Daemon::ConfigReplica replica;
+    replica.apply(makeRecords(5, 10));
+    replica.enterEra(Config::firstOffsetOf(1));
+    CHECK_FALSE(replica.recordsSince(4));
+    CHECK(replica.recordsSince(replica.position().offset));
+}
--- /dev/null
+++ b/tests/daemon/restore.cpp
@@ -0,0 +1,50 @@
+#include "daemon/system.h"
+#include "support/notes.h"
+
+using namespace Laburnummast;
+using namespace Laburnummast::Tests;
+
+namespace
+{
+
+// Whether a daemon has applied the note and accepted it.
+bool hasAccepted(const System &system, std::size_t daemon, const std::string &id)
+{
+    const auto notes = system.state(daemon, "/v1/notes").value("notes", nlohmann::json::array());
+    return std::any_of(notes.begin(), notes.end(), [&](const auto &it) { return it["id"] == id && it["verdict"] == "accepted"; });
+}
+
+}
+
+TEST_CASE("A note that gets the offset of one that the log lost in a restore is in force on every daemon")
+{
+    System system(4, 0);
+    REQUIRE(system.publish(0, noteText("base", addOwner("q"))).head.status == 200);
+    REQUIRE(eventually([&] { return system.daemonsAgreeAt(0); }));
+    system.setLogFault("copy=1");
+    REQUIRE(system.publish(0, noteText("lost", addOwner("r"))).head.status == 200);
+    REQUIRE(eventually([&] { return system.daemonsAgreeAt(1); }));
+    system.setLogFault("restore=1");
+    CHECK(system.publish(1, noteText("after", addOwner("s"))).head.status == 200);
+    for (std::size_t i = 0; i < 4; ++i) {
+        CHECK(eventually([&] { return hasAccepted(system, i, "after") && hasAccepted(system, i, "lost"); }));
+    }
+    CHECK(eventually([&] { return system.daemonsAgreeAt(2); }));
+}
+
+TEST_CASE("A note that the log lost in a restore is in force on a daemon that starts from the log alone")
+{
+    System system(2, 0);
+    REQUIRE(system.publish(0, noteText("base", addOwner("q"))).head.status == 200);
+    system.setLogFault("copy=1");
+    REQUIRE(system.publish(0, noteText("lost", addOwner("r"))).head.status == 200);
+    REQUIRE(eventually([&] { return system.daemonsAgreeAt(1); }));
+    system.setLogFault("restore=1");
+    REQUIRE(system.publish(0, noteText("after", changeOwner("r", 1, 2))).head.status == 200);
+    REQUIRE(eventually([&] { return hasAccepted(system, 1, "after"); }));
+    REQUIRE(eventually([&] { return system.state(0)["log"]["waiting"] == 0 && system.state(1)["log"]["waiting"] == 0; }));
+    system.kill(0);
+    system.kill(1);
+    system.startDaemon();
+    CHECK(eventually([&] { return hasAccepted(system, 2, "lost") && hasAccepted(system, 2, "after"); }));
+}
--- a/tests/daemon/system.h
+++ b/tests/daemon/system.h
@@ -81,9 +81,10 @@
 class System
 {
 public:
-    System(int daemons, int upstreams)
+    System(int daemons, int upstreams, Millis usageLogInterval = 60_s)
         : m_logAddress(freeAddress())
         , m_log(1000)
+        , m_usageLogInterval(usageLogInterval)
     {
         Process::blockSignals();
         boost::log::core::get()->set_logging_enabled(false);
@@ -126,6 +127,7 @@
         settings.peerAddress = freeAddress();
         settings.logAddress = m_logAddress;
         settings.logPollTimeout = Millis{500};
+        settings.usageLogInterval = m_usageLogInterval;
         settings.entryThreads = 32;
         settings.entryTtl = Millis{200};
         settings.bufferedBytes = 64 << 10;
@@ -224,6 +226,10 @@
         return std::get<Net::ClientResponse>(std::move(answer));
     }
 
+    Net::Address logAddress() const
+    {
+        return m_logAddress;
+    }
     Net::Address entryAddress(std::size_t daemon) const
     {
         return m_settings[daemon].entryAddress;
@@ -250,6 +256,7 @@
 private:
     Net::Address m_logAddress;
     Standin::LogService m_log;
+    Millis m_usageLogInterval;
     Net::HttpServer m_logServer;
     std::vector<std::unique_ptr<TestUpstream>> m_upstreams;
     std::vector<Daemon::Settings> m_settings;
