Refuse a call without a route with 503 while newer routes may exist

What callers saw: a final 404 for a route that had been added, from a daemon that knew that its routes were outdated; callers do not repeat a call after 404, though every other daemon could serve it. Change: the view says whether the routes are current; if not, a call without a route gets 503 with Retry-After, which is true: it has not run. The log line names routes-outdated.

--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -127,6 +127,7 @@
     if (followed.storeUnreachable) {
         followed.storeUnreachable = false;
         logInfo("store-back", {{"topic", textOf(static_cast<std::int64_t>(topic))}, {"through", isDirect ? "itself" : "peer"}});
+        scheduleViewUpdate();
         if (topic == Topic::Upstreams) {
             m_upstreams.markStoreReachable(Process::steadyNow());
         }
@@ -142,6 +143,7 @@
         }
         followed.storeUnreachable = true;
         logWarning("store-away", {{"topic", textOf(static_cast<std::int64_t>(topic))}, {"position", textOf(followed.feed.end())}});
+        scheduleViewUpdate();
         if (topic == Topic::Upstreams) {
             m_upstreams.markStoreUnreachable();
         }
@@ -254,6 +256,10 @@
         auto &followed = followedTopic(topic);
         const bool peerIsAhead
             = peerPosition.hasSnapshot && (peerPosition.position() > followed.feed.position() || !followed.feed.hasSnapshot());
+        if (peerIsAhead && topic == Topic::Routes && peerPosition.position() > m_reportedRoutesPosition) {
+            m_reportedRoutesPosition = peerPosition.position();
+            scheduleViewUpdate();
+        }
         if (peerIsAhead) {
             m_peers.fetchRecords(
                 topic, followed.feed.hasSnapshot() ? followed.feed.position() : Feed::LogPosition{}, recordsAddressOf(report));
@@ -348,6 +354,12 @@
     return m_routes && followedTopic(Topic::Upstreams).feed.hasSnapshot() && !m_draining;
 }
 
+bool Control::routesCurrent() const
+{
+    const auto &followed = followedTopic(Topic::Routes);
+    return !followed.storeUnreachable && followed.feed.position() >= m_reportedRoutesPosition;
+}
+
 void Control::scheduleViewUpdate()
 {
     if (m_viewUpdateScheduled || m_stopped) {
@@ -372,6 +384,7 @@
     }
     auto view = std::make_shared<NodeView>();
     view->routes = m_routes;
+    view->routesCurrent = routesCurrent();
     view->upstreamsKnown = followedTopic(Topic::Upstreams).feed.hasSnapshot();
     view->draining = m_draining;
     for (const auto &[id, it] : m_upstreams.upstreams()) {
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -137,6 +137,7 @@
     void updateView();
     /// Whether this daemon can serve calls: it knows routes and upstreams and is not draining.
     bool ready() const;
+    bool routesCurrent() const;
     /// Hosts of the alive and suspected members.
     std::vector<std::string> servingHosts() const;
 
@@ -147,6 +148,8 @@
     Fleet::ReaderTimeouts m_readerTimeouts;
     Fleet::UpstreamTable m_upstreams;
     std::shared_ptr<const Routes::RouteTable> m_routes;
+    /// Latest position of the routes that a peer reported.
+    Feed::LogPosition m_reportedRoutesPosition;
     PeerLink m_peers;
     /// Outcomes for the next report, by upstream.
     std::map<std::string, UpstreamOutcome> m_outcomes;
--- a/src/entry/nodeview.h
+++ b/src/entry/nodeview.h
@@ -26,6 +26,8 @@
 {
     /// Null until a version of the routes is known.
     std::shared_ptr<const Routes::RouteTable> routes;
+    /// Whether no newer version of the routes is expected: no daemon reported one, and the store is reachable.
+    bool routesCurrent = false;
     /// Whether a snapshot of the upstreams has been applied.
     bool upstreamsKnown = false;
     /// Upstreams that may get new calls: all known ones that are not draining.
--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -282,6 +282,16 @@
         return;
     }
     const auto *route = m_view->routes->match(call.host, Http::pathOf(call.target));
+    if (!route && !m_view->routesCurrent) {
+        // A newer version may have the route, so the call is refused as not run, which allows the caller to repeat it.
+        ++m_endCounts[static_cast<std::size_t>(CallEnd::NotReady)];
+        m_callLog.write(
+            "call-rejected",
+            now,
+            {{"id", call.id}, {"reason", "routes-outdated"}, {"host", call.host}, {"version", Text::concat(m_view->routes->version())}});
+        responder.send(Platform::notRunResponse(call.id, notReadyRetryAfter));
+        return;
+    }
     if (!route) {
         ++m_endCounts[static_cast<std::size_t>(CallEnd::NoRoute)];
         m_callLog.write(
--- a/tests/entry/wholepath.cpp
+++ b/tests/entry/wholepath.cpp
@@ -395,6 +395,21 @@
     CHECK(system.node(0).controlState().routesVersion == 3);
 }
 
+TEST_CASE("A call without a route is refused as not executed, not with 404, while a newer version of the routes may exist")
+{
+    System system(1);
+    system.publishAll();
+    system.startNode(0);
+    REQUIRE(system.ready(0));
+    CHECK(system.call(0, "/added/x").status == 404);
+    system.store().setMode(FakeStore::Mode::Unresponsive);
+    CHECK(system.runUntil([&] { return system.node(0).controlState().storeUnreachable; }));
+    CHECK(system.runUntil([&] { return system.call(0, "/added/x").status == 503; }));
+    CHECK(system.call(0, "/r/x").status == 200);
+    system.store().setMode(FakeStore::Mode::Normal);
+    CHECK(system.runUntil([&] { return system.call(0, "/added/x").status == 404; }));
+}
+
 TEST_CASE("While the store does not answer, calls are served and a new daemon gets all records from its peer")
 {
     System system(2);
