Server connection: an empty line before a request is ignored

What callers saw: 400 and a closed connection if a CRLF stood before a request line, also if it followed the body of the request before, as some clients send it.

Cause: the parser takes the empty line as a request line. RFC 9112, section 2.2, asks servers to ignore at least one.

Fix: empty lines are dropped before a request begins. They do not start its header timer, so the idle timeout still ends a connection that gets nothing else.

--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -114,7 +114,7 @@
     m_requestStarted = false;
     m_parsedBytes = 0;
     m_continueSent = false;
-    if (m_buffer.size() > 0) {
+    if (requestBegins()) {
         parseBuffered();
         return;
     }
@@ -127,6 +127,19 @@
     read();
 }
 
+bool ServerConnection::requestBegins()
+{
+    const auto buffered = [this] {
+        const auto bytes = m_buffer.cdata();
+        return std::string_view(static_cast<const char *>(bytes.data()), bytes.size());
+    };
+    // Some clients send an empty line after a body; RFC 9112, section 2.2.
+    while (buffered().starts_with("\r\n")) {
+        m_buffer.consume(2);
+    }
+    return !buffered().empty() && buffered() != "\r";
+}
+
 void ServerConnection::parseBuffered()
 {
     if (!m_requestStarted) {
@@ -198,7 +211,11 @@
     m_buffer.commit(Asio::buffer_copy(m_buffer.prepare(n), Asio::buffer(m_received, n)));
     switch (m_state) {
     case State::Reading:
-        parseBuffered();
+        if (m_requestStarted || requestBegins()) {
+            parseBuffered();
+        } else {
+            read();
+        }
         return;
     case State::Lingering:
         m_buffer.consume(m_buffer.size());
--- a/src/http/serverconnection.h
+++ b/src/http/serverconnection.h
@@ -140,6 +140,8 @@
     };
 
     void readNextRequest();
+    /// Drops empty lines before a request and returns whether a byte of the request itself is buffered.
+    bool requestBegins();
     void parseBuffered();
     void read();
     void onRead(const boost::system::error_code &ec, std::size_t n);
