Platform: a request whose target is in absolute form finds its route

What callers saw: 404 for a request line such as "GET http://h.example/a HTTP/1.1", though the route of the host and path is in force.

Cause: the whole target was taken for a path, and no prefix matches "http://h.example/". RFC 9112, section 3.2.2, requires servers to accept this form, with the host of the target instead of the one in the Host header.

Evidence: the new case fails without the fix in 12 assertions for 4 absolute targets; origin-form targets that contain "http://", and "*", were and stay unchanged.

Fix: decodeCall takes host and path out of such a target. The upstream gets the path and the host as a request in origin form. A case for a deadline with a fraction passed before as well.

--- a/src/platform/requests.cpp
+++ b/src/platform/requests.cpp
@@ -50,6 +50,25 @@
     });
 }
 
+// Converts a target in absolute form. Its authority replaces the Host header; RFC 9112, section 3.2.2.
+void toOriginForm(Entry::IncomingCall &call)
+{
+    const auto [scheme, rest] = Text::splitOnce(call.target, ':');
+    if (!rest.starts_with("//") || !(Text::equalsIgnoreCase(scheme, "http") || Text::equalsIgnoreCase(scheme, "https"))) {
+        return;
+    }
+    const auto afterSlashes = rest.substr(2);
+    const auto authorityEnd = std::min(afterSlashes.find_first_of("/?"), afterSlashes.size());
+    call.host = afterSlashes.substr(0, authorityEnd);
+    for (auto &it : call.headers) {
+        if (Text::equalsIgnoreCase(it.name, "host")) {
+            it.value = call.host;
+        }
+    }
+    const auto pathAndQuery = afterSlashes.substr(authorityEnd);
+    call.target = pathAndQuery.starts_with('/') ? std::string(pathAndQuery) : Text::concat("/", pathAndQuery);
+}
+
 // Returns nothing unless the first three numbers are valid and there is at least one slot.
 std::optional<Placement::LoadReport> decodeLoadReport(const Http::Headers &headers)
 {
@@ -113,6 +132,7 @@
     call.method = std::move(request.method);
     call.target = std::move(request.target);
     call.headers = std::move(request.headers);
+    toOriginForm(call);
     stripHeaders(call.headers);
     call.body = std::move(request.body);
     return call;
--- a/tests/platform/requests.cpp
+++ b/tests/platform/requests.cpp
@@ -1,6 +1,9 @@
 #include "platform/requests.h"
 
 #include <doctest/doctest.h>
+#include <map>
+#include <string>
+#include <utility>
 
 using namespace Laburnummast;
 using namespace Laburnummast::Platform;
@@ -67,6 +70,35 @@
     CHECK(std::get<Entry::CallError>(decodeCall(request)) == Entry::CallError::BadDeadline);
 }
 
+TEST_CASE("A target in absolute form is decoded to its host and path, as without it no route matches")
+{
+    const std::map<std::string, std::pair<std::string, std::string>> hostAndTarget{
+        {"http://o.example/p/x?y=http://z/", {"o.example", "/p/x?y=http://z/"}},
+        {"HTTP://o.example:80/p/", {"o.example:80", "/p/"}},
+        {"http://o.example", {"o.example", "/"}},
+        {"http://o.example?y", {"o.example", "/?y"}},
+        {"/p/x?y=http://z/", {"h.example", "/p/x?y=http://z/"}},
+        {"/http://z/", {"h.example", "/http://z/"}},
+        {"*", {"h.example", "*"}},
+    };
+    for (const auto &[target, expected] : hostAndTarget) {
+        CAPTURE(target);
+        auto request = callerRequest();
+        request.target = target;
+        const auto call = std::get<Entry::IncomingCall>(decodeCall(request));
+        CHECK(call.host == expected.first);
+        CHECK(Http::find(call.headers, "Host") == expected.first);
+        CHECK(call.target == expected.second);
+    }
+}
+
+TEST_CASE("A deadline with a fraction is accepted")
+{
+    auto request = callerRequest();
+    request.headers[2].value = "800.25";
+    CHECK(std::get<Entry::IncomingCall>(decodeCall(request)).callerTimeout == 800.25_ms);
+}
+
 TEST_CASE("A response with status 200 is a success only if it is signed and has no content encoding")
 {
     CHECK(decodeAnswer(response(200, {signature})).kind == AnswerKind::Success);
