Client connection: an answer without end is given up at a bound, and a huge Content-Length no longer ends the daemon

What was seen: an upstream whose answer does not end (chunks, a chunk extension, trailers, a body without a length) was read into memory until the exchange timed out; interim responses and responses to other requests were parsed for as long. A Content-Length of 9 * 10^15, followed by a byte of the body, threw std::bad_alloc out of the event loop, which ends the process.

Cause: the limit of the body was the largest integer, nothing bounded what the parser leaves unparsed behind the head, nor the responses that are discarded. The parser reserves the announced length. A limit alone does not prevent this: an eager parser whose head is followed by body bytes in one buffer overwrites the error of the limit and goes on to the body.

Fix: Exchange::maxBodyBytes bounds the body, 64 MB unless the caller says otherwise; Traffic passes the routes' limit for request bodies if that is higher, so that no answer is cut that is as long as a request may be. Unparsed bytes are bounded by the limit of the head, and after 100 discarded responses the exchange ends. The parser is not eager, so the error of the limit is seen before anything is reserved.

--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -33,6 +33,8 @@
 constexpr double probeRateShare = 0.85;
 // Largest burst of probes, in seconds of the probe rate: the limit applies to the mean over a long time, so unused probes are saved.
 constexpr double probeBurstSeconds = 5;
+// Answers up to this size are accepted whatever the routes allow for requests; a longer one takes too much of the daemon's memory.
+constexpr std::uint64_t minAnswerBytesLimit = 67108864;
 // Longest request body on the readiness and directory listeners.
 constexpr std::uint64_t maxQueryBodyBytes = 65536;
 
@@ -90,6 +92,7 @@
         return AttemptOutcome::Cancelled;
     case Http::ClientError::ConnectionLost:
     case Http::ClientError::Malformed:
+    case Http::ClientError::TooLarge:
         return AttemptOutcome::Incomplete;
     }
     return AttemptOutcome::Incomplete;
@@ -229,6 +232,11 @@
     }
 }
 
+std::uint64_t Traffic::maxAnswerBytes() const
+{
+    return std::max(minAnswerBytesLimit, m_view->routes ? m_view->routes->limits().bodyBytes : 0);
+}
+
 Placement::PlacementOptions Traffic::placementOptions() const
 {
     const auto daemons = std::max<std::size_t>(1, m_view->daemonCount);
@@ -423,6 +431,7 @@
     attempt.connection->start(
         {.bytes = Http::encode(Platform::encodeAttempt(openCall.call, id, left)),
          .timeout = left + answerGrace,
+         .maxBodyBytes = maxAnswerBytes(),
          .headRequest = openCall.call.method == "HEAD",
          .matchesRequest = [callId = openCall.call.id](const Http::Response &it) { return Platform::isResponseToCall(it, callId); },
          .onResult = onResult});
--- a/src/entry/traffic.h
+++ b/src/entry/traffic.h
@@ -167,6 +167,8 @@
     void serveReadiness(const Http::Request &request, const Http::Responder &responder) const;
     Service &serviceOf(const std::string &name);
     Placement::PlacementOptions placementOptions() const;
+    /// Longest body of an answer that is passed on.
+    std::uint64_t maxAnswerBytes() const;
     void updateProbeRate();
     /// Executes the actions of a dispatcher and sets its timer.
     void execute(Service &service, const Dispatch::Actions &actions);
--- a/src/http/clientconnection.cpp
+++ b/src/http/clientconnection.cpp
@@ -6,7 +6,6 @@
 #include <algorithm>
 #include <boost/asio/write.hpp>
 #include <chrono>
-#include <limits>
 
 namespace Laburnummast::Http
 {
@@ -18,6 +17,8 @@
 
 constexpr std::size_t readSizeBytes = 16384;
 constexpr std::uint32_t maxHeadBytes = 65536;
+// Interim responses and responses to other requests that are discarded in one exchange before it is given up.
+constexpr int maxDiscardedResponses = 100;
 // Assumed keep-alive timeout of a server that does not announce one; a common server default.
 constexpr Millis defaultKeepAlive = 5_s;
 
@@ -50,6 +51,12 @@
     return response;
 }
 
+ClientError errorOf(const boost::system::error_code &ec)
+{
+    const bool tooLarge = ec == Beast::error::header_limit || ec == Beast::error::body_limit || ec == Beast::error::buffer_overflow;
+    return tooLarge ? ClientError::TooLarge : ClientError::Malformed;
+}
+
 }
 
 std::string_view nameOf(ClientError error)
@@ -61,6 +68,8 @@
         return "connection-lost";
     case ClientError::Malformed:
         return "malformed";
+    case ClientError::TooLarge:
+        return "too-large";
     case ClientError::TimedOut:
         return "timed-out";
     case ClientError::Cancelled:
@@ -81,6 +90,7 @@
     m_exchange = std::move(exchange);
     ++m_exchangeCount;
     m_requestWritten = false;
+    m_discardedResponses = 0;
     startTimer();
     if (m_connected) {
         send();
@@ -132,10 +142,10 @@
 void ClientConnection::resetParser()
 {
     m_parser.emplace();
-    m_parser->eager(true);
+    // Not eager: an eager parser goes on to the body when the head's Content-Length is beyond the limit, and reserves that length.
     m_parser->skip(m_exchange.headRequest);
     m_parser->header_limit(maxHeadBytes);
-    m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+    m_parser->body_limit(m_exchange.maxBodyBytes);
 }
 
 void ClientConnection::read()
@@ -184,7 +194,7 @@
             break;
         }
         if (ec) {
-            fail(ClientError::Malformed);
+            fail(errorOf(ec));
             return;
         }
         if (n == 0) {
@@ -195,6 +205,11 @@
         onResponse();
         return;
     }
+    // The parser takes body bytes at once; what it leaves is part of a head, or of a chunk header or trailer without end.
+    if (m_buffer.size() > maxHeadBytes) {
+        fail(ClientError::TooLarge);
+        return;
+    }
     read();
 }
 
@@ -207,6 +222,10 @@
             fail(ClientError::ConnectionLost);
             return;
         }
+        if (++m_discardedResponses > maxDiscardedResponses) {
+            fail(ClientError::TooLarge);
+            return;
+        }
         resetParser();
         if (m_buffer.size() > 0) {
             parseBuffered();
--- a/src/http/clientconnection.h
+++ b/src/http/clientconnection.h
@@ -29,6 +29,8 @@
     ConnectionLost,
     /// The received bytes are not a valid HTTP response.
     Malformed,
+    /// The response, or the other responses before it, are longer than the limits allow.
+    TooLarge,
     /// No complete response arrived within the timeout of the exchange.
     TimedOut,
     /// The exchange was cancelled. Not reported by ClientConnection, whose cancel() gives no result.
@@ -48,6 +50,8 @@
     std::string bytes;
     /// Limit for the whole exchange, including a connect.
     Millis timeout{1000};
+    /// Longest body of a response that is accepted.
+    std::uint64_t maxBodyBytes = 67108864;
     /// Whether this is a HEAD request, whose response has no body.
     bool headRequest = false;
     /// Responses for which this returns false belong to another request and are discarded; if unset, every response is accepted.
@@ -129,6 +133,8 @@
     bool m_readPending = false;
     bool m_requestWritten = false;
     std::uint64_t m_exchangeCount = 0;
+    /// Interim responses and responses to other requests that the current exchange has discarded.
+    int m_discardedResponses = 0;
     Millis m_idleSince{};
     Millis m_serverKeepAlive{};
 };
