--- a/src/daemon/control.cpp
+++ b/src/daemon/control.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <ctime>
+#include <utility>
 
 namespace Laburnummast::Daemon
 {
@@ -23,7 +24,8 @@
 // Members that receive the idempotency keys when this one stops.
 constexpr std::size_t keySuccessorCount = 2;
 constexpr Millis peerRequestTimeout = 1_s;
-constexpr Millis configFetchTimeout = 3_s;
+// A configuration may take long to transfer over a slow link; only a transfer that stalls is given up early.
+constexpr Net::ExchangeLimits configFetchLimits{.stall = 3_s, .total = 60_s};
 constexpr Millis finalFlushTimeout = 2_s;
 // Pause after a peer's snapshot could not be used.
 constexpr Millis configFetchBackoff = 500_ms;
@@ -184,6 +186,7 @@
         m_usageReporter.shareWithPeers(m_membership.serving());
         m_keys.expire();
     }
+    m_usageReporter.enqueueRepeated();
     if (now >= m_nextUsageLog) {
         m_nextUsageLog = now + m_settings.usageLogInterval;
         m_usageReporter.enqueueForLog(m_membership.others());
@@ -332,6 +335,10 @@
 
 void Control::handleConfigChange()
 {
+    const auto era = Config::eraOf(m_config.position().offset + 1);
+    if (std::exchange(m_usageEra, era) != era) {
+        m_usageReporter.repeatRecords();
+    }
     // Waiting publish() calls are woken only after traffic uses the configuration.
     m_traffic.setConfig(m_config.runtimeConfig());
     Membership::MembershipActions actions;
@@ -357,7 +364,7 @@
     m_configFetchRunning = true;
     ++m_counters.configFetches;
     m_workers.post([this, address = member.info.peer, knownOffset = m_config.position().offset] {
-        auto reply = Net::askPeer(address, Net::FetchConfig{.knownOffset = knownOffset}, m_peerKey, configFetchTimeout);
+        auto reply = Net::askPeer(address, Net::FetchConfig{.knownOffset = knownOffset}, m_peerKey, configFetchLimits);
         boost::asio::post(m_context, [this, reply = std::move(reply)] {
             m_configFetchRunning = false;
             const auto *answer = std::get_if<Net::PeerReply>(&reply);
