Keep what is known of upstreams while they register again after the store returned from a copy

Cause: what an older copy lacks was taken for a removal by its owner, and what it lists for news.

Fix: the feed announces a later era before its changes. For the time in which upstreams register again (two seconds, as after an outage) removals are deferred, and a record is held back if it is from before the upstream's last start, announced draining or removal. It takes effect afterwards if it is still the latest one. The state dump has the number of records held back.

--- a/src/core/feed/keyedfeed.cpp
+++ b/src/core/feed/keyedfeed.cpp
@@ -6,8 +6,9 @@
 namespace Laburnummast::Feed
 {
 
-KeyedFeed::KeyedFeed(OnChange onChange)
+KeyedFeed::KeyedFeed(OnChange onChange, OnNewEra onNewEra)
     : m_onChange(std::move(onChange))
+    , m_onNewEra(std::move(onNewEra))
 {
 }
 
@@ -34,6 +35,9 @@
     for (auto &[key, it] : m_records) {
         it.offset = -1;
     }
+    if (m_hasSnapshot && m_onNewEra) {
+        m_onNewEra();
+    }
 }
 
 std::size_t KeyedFeed::apply(std::span<const KeyedRecord> records, const LogPosition &end)
--- a/src/core/feed/keyedfeed.h
+++ b/src/core/feed/keyedfeed.h
@@ -69,7 +69,10 @@
     /// Called after the value of a key was changed or removed.
     using OnChange = std::function<void(const KeyedRecord &)>;
 
-    explicit KeyedFeed(OnChange onChange);
+    /// Called before the changes that a snapshot of a later era makes to known records.
+    using OnNewEra = std::function<void()>;
+
+    explicit KeyedFeed(OnChange onChange, OnNewEra onNewEra = {});
 
     /// Applies records from before the position `end`; a record that is not newer than the known one of its key is ignored. Advances
     /// `end()` to `end` if that is later. Returns how many records were new.
@@ -115,6 +118,7 @@
     void startEra(const LogPosition &end);
 
     OnChange m_onChange;
+    OnNewEra m_onNewEra;
     std::map<std::string, KeyedRecord, std::less<>> m_records;
     std::int64_t m_era = 0;
     std::int64_t m_end = 0;
--- a/src/core/fleet/upstreamtable.cpp
+++ b/src/core/fleet/upstreamtable.cpp
@@ -1,5 +1,7 @@
 #include "core/fleet/upstreamtable.h"
 
+#include <utility>
+
 namespace Laburnummast::Fleet
 {
 namespace
@@ -7,11 +9,19 @@
 
 // The platform's contract guarantees that live upstreams have registered again by then.
 constexpr Millis reregistrationTime = 2_s;
+// Longer than the store's copies are old.
+constexpr Millis departureMemory = 60_s;
 
 }
 
 void UpstreamTable::put(const UpstreamRecord &record, Millis now)
 {
+    if (now < m_holdOlderRecordsUntil && isOlder(record)) {
+        m_heldRecords[record.id] = record;
+        return;
+    }
+    m_heldRecords.erase(record.id);
+    m_departures.erase(record.id);
     m_deferredRemovals.erase(record.id);
     auto &upstream = m_upstreams[record.id];
     if (upstream.record.id.empty() || upstream.record.startedAt != record.startedAt) {
@@ -21,8 +31,30 @@
     upstream.warmUpEnd = now + record.warmUpRemaining;
 }
 
+bool UpstreamTable::isOlder(const UpstreamRecord &record) const
+{
+    if (const auto it = m_upstreams.find(record.id); it != m_upstreams.end()) {
+        const auto &known = it->second.record;
+        return record.startedAt < known.startedAt || (record.startedAt == known.startedAt && known.draining && !record.draining);
+    }
+    const auto it = m_departures.find(record.id);
+    return it != m_departures.end() && record.startedAt <= it->second.startedAt && !record.draining;
+}
+
+void UpstreamTable::erase(std::string_view id, Millis now)
+{
+    const auto it = m_upstreams.find(id);
+    if (it == m_upstreams.end()) {
+        return;
+    }
+    std::erase_if(m_departures, [&](const auto &departure) { return now - departure.second.at > departureMemory; });
+    m_departures[it->first] = {.startedAt = it->second.record.startedAt, .at = now};
+    m_upstreams.erase(it);
+}
+
 void UpstreamTable::remove(std::string_view id, Millis now)
 {
+    m_heldRecords.erase(std::string(id));
     const auto it = m_upstreams.find(id);
     if (it == m_upstreams.end()) {
         return;
@@ -33,7 +65,7 @@
         return;
     }
     m_deferredRemovals.erase(std::string(id));
-    m_upstreams.erase(it);
+    erase(id, now);
 }
 
 void UpstreamTable::markStoreUnreachable()
@@ -49,16 +81,33 @@
     }
 }
 
+void UpstreamTable::markStoreRestored(Millis now)
+{
+    m_deferRemovalsUntil = now + reregistrationTime;
+    m_holdOlderRecordsUntil = now + reregistrationTime;
+}
+
 bool UpstreamTable::applyDeferredRemovals(Millis now)
 {
     if (m_storeUnreachable || now < m_deferRemovalsUntil || m_deferredRemovals.empty()) {
         return false;
     }
     for (const auto &[id, removedAt] : m_deferredRemovals) {
-        m_upstreams.erase(id);
+        erase(id, now);
     }
     m_deferredRemovals.clear();
     return true;
 }
 
+bool UpstreamTable::applyHeldRecords(Millis now)
+{
+    if (m_storeUnreachable || now < m_holdOlderRecordsUntil || m_heldRecords.empty()) {
+        return false;
+    }
+    for (const auto &[id, record] : std::exchange(m_heldRecords, {})) {
+        put(record, now);
+    }
+    return true;
+}
+
 }
--- a/src/core/fleet/upstreamtable.h
+++ b/src/core/fleet/upstreamtable.h
@@ -25,7 +25,8 @@
 /// Upstreams that may receive calls, built from their registration records.
 ///
 /// Registrations expire while the store is unreachable, and live upstreams register again within about two seconds after it
-/// is reachable again. A removal within that period takes effect only at its end.
+/// is reachable again. A removal within that period takes effect only at its end. The same holds after the store has returned from an older
+/// copy; a record of it that is older than what is known of the upstream also takes effect only at the end of the period.
 class UpstreamTable
 {
 public:
@@ -37,8 +38,13 @@
     void markStoreUnreachable();
     /// Starts the period in which upstreams register again, if the store was unreachable.
     void markStoreReachable(Millis now);
+    /// Starts that period because the store has returned from an older copy, whose records follow.
+    void markStoreRestored(Millis now);
     /// Carries out the deferred removals once that period has ended. Returns whether there were any.
     bool applyDeferredRemovals(Millis now);
+    /// Applies the records that were held back as older, if they are still the latest ones after that period. Returns whether there were
+    /// any.
+    bool applyHeldRecords(Millis now);
 
     const std::map<std::string, KnownUpstream, std::less<>> &upstreams() const
     {
@@ -49,10 +55,30 @@
         return m_deferredRemovals.size();
     }
 
+    std::size_t heldRecordCount() const
+    {
+        return m_heldRecords.size();
+    }
+
 private:
+    /// An upstream that was removed.
+    struct Departure
+    {
+        std::int64_t startedAt = 0;
+        Millis at;
+    };
+
+    /// Whether a record is from before the upstream started again, announced draining or was removed.
+    bool isOlder(const UpstreamRecord &record) const;
+    void erase(std::string_view id, Millis now);
+
     std::map<std::string, KnownUpstream, std::less<>> m_upstreams;
     /// Time of the first removal by upstream id.
     std::map<std::string, Millis, std::less<>> m_deferredRemovals;
+    /// Last removal by upstream id.
+    std::map<std::string, Departure, std::less<>> m_departures;
+    std::map<std::string, UpstreamRecord, std::less<>> m_heldRecords;
+    Millis m_holdOlderRecordsUntil{};
     bool m_storeUnreachable = false;
     Millis m_deferRemovalsUntil{};
 };
--- a/src/entry/admin.cpp
+++ b/src/entry/admin.cpp
@@ -172,8 +172,15 @@
     const auto control = m_node.controlState();
     auto text = Text::concat("routes-version ", control.routesVersion, "\nstore-away ", control.storeUnreachable ? "yes" : "no", "\n");
     Text::append(text, topicLine("routes", control.topics[0]), topicLine("upstreams", control.topics[1]));
-    Text::append(
-        text, "members ", control.servingMemberCount, "\nremovals-held-back ", control.deferredRemovalCount, "\n", m_node.stateDump());
+    Text::append(text,
+                 "members ",
+                 control.servingMemberCount,
+                 "\nremovals-held-back ",
+                 control.deferredRemovalCount,
+                 "\nrecords-held-back ",
+                 control.heldRecordCount,
+                 "\n",
+                 m_node.stateDump());
     return text;
 }
 
--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -46,8 +46,9 @@
     : m_loop(loop)
     , m_settings(settings)
     , m_events(std::move(events))
-    , m_topics{std::make_unique<FollowedTopic>([this](const Feed::KeyedRecord &it) { applyRoutesRecord(it); }),
-               std::make_unique<FollowedTopic>([this](const Feed::KeyedRecord &it) { applyUpstreamRecord(it); })}
+    , m_topics{std::make_unique<FollowedTopic>([this](const Feed::KeyedRecord &it) { applyRoutesRecord(it); }, nullptr),
+               std::make_unique<FollowedTopic>([this](const Feed::KeyedRecord &it) { applyUpstreamRecord(it); },
+                                               [this] { m_upstreams.markStoreRestored(Process::steadyNow()); })}
     , m_peers(loop,
               settings,
               {.onMember = [this](const Membership::MemberChanged &it) { handleMemberChange(it); },
@@ -192,6 +193,9 @@
     if (m_upstreams.applyDeferredRemovals(now)) {
         scheduleViewUpdate();
     }
+    if (m_upstreams.applyHeldRecords(now)) {
+        scheduleViewUpdate();
+    }
     // The reports of a reader must reach every daemon; for other reports some daemons suffice.
     const bool isReader = std::any_of(m_topics.begin(), m_topics.end(), [](const auto &it) { return it->follower->active(); });
     if (now - m_lastReportAt >= reportInterval(isReader)) {
@@ -437,6 +441,7 @@
     state.routesVersion = m_routes ? m_routes->version() : 0;
     state.upstreamCount = m_upstreams.upstreams().size();
     state.deferredRemovalCount = m_upstreams.deferredRemovalCount();
+    state.heldRecordCount = m_upstreams.heldRecordCount();
     state.servingMemberCount = m_peers.members().serving().size();
     state.unreadableValues = m_unreadableValues;
     state.peers = m_peers.counters();
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -50,6 +50,8 @@
     std::size_t upstreamCount = 0;
     /// Number of upstreams that were removed during or shortly after an outage of the store and are kept for now.
     std::size_t deferredRemovalCount = 0;
+    /// Number of upstreams whose record in an older copy of the store is not applied for now.
+    std::size_t heldRecordCount = 0;
     /// Number of alive and suspected members; this daemon counts until it drains.
     std::size_t servingMemberCount = 0;
     /// Routes and upstream records whose value could not be decoded; records without a readable key count in `storeCounters`.
@@ -91,8 +93,8 @@
     /// A topic of the store and what is known about its readers.
     struct FollowedTopic
     {
-        explicit FollowedTopic(Feed::KeyedFeed::OnChange onChange)
-            : feed(std::move(onChange))
+        FollowedTopic(Feed::KeyedFeed::OnChange onChange, Feed::KeyedFeed::OnNewEra onNewEra)
+            : feed(std::move(onChange), std::move(onNewEra))
         {
         }
 
--- a/tests/entry/wholepath.cpp
+++ b/tests/entry/wholepath.cpp
@@ -358,6 +358,26 @@
     CHECK(system.node(0).controlState().routesVersion == 3);
 }
 
+TEST_CASE("Upstreams that an older copy of the store does not list yet still get calls, and draining ones that it lists as ready do not")
+{
+    System system(2);
+    system.store().put(routesTopic, "config", routesJson(1, "s"));
+    system.store().put(upstreamsTopic, "w0", system.upstreams[0]->registrationRecord("s"));
+    system.startNode(0);
+    REQUIRE(system.ready(0));
+    const auto copy = system.store().copy();
+    system.store().put(upstreamsTopic, "w1", system.upstreams[1]->registrationRecord("s"));
+    system.store().put(upstreamsTopic, "w0", system.upstreams[0]->registrationRecord("s", "draining"));
+    REQUIRE(system.runUntil([&] { return system.node(0).controlState().topics[1].end == 3; }));
+    const auto drainedCalls = system.upstreams[0]->executed.size();
+    system.store().restore(copy);
+    REQUIRE(system.runUntil([&] { return system.node(0).controlState().topics[1].era == 2; }));
+    for (int i = 0; i < 20; ++i) {
+        CHECK(system.call(0, "/r/x").status == 200);
+    }
+    CHECK(system.upstreams[0]->executed.size() == drainedCalls);
+}
+
 TEST_CASE("While the store does not answer, calls are served and a new daemon gets all records from its peer")
 {
     System system(2);
