--- a/src/entry/topicfollower.cpp
+++ b/src/entry/topicfollower.cpp
@@ -175,11 +175,10 @@
     if (const auto *error = std::get_if<Platform::StoreError>(&decoded)) {
         if (*error == Platform::StoreError::RecordsGone) {
             ++m_counters.goneReads;
-            if (++m_consecutiveGoneReads == 1) {
+            if (m_consecutiveLostReads == 0) {
                 m_events.onRecordsGone(from.offset);
             }
-            m_needsSnapshot = true;
-            startNextRequest();
+            handleLostPosition();
             return;
         }
         handleFailure(Platform::nameOf(*error));
@@ -192,12 +191,12 @@
     }
     if (era != from.era) {
         // The requested offset belongs to an earlier era, so the records do not follow those of the feed.
-        startNextRequest();
+        handleLostPosition();
         return;
     }
     const auto &log = std::get<Platform::LogRecords>(decoded);
     handleContact();
-    m_consecutiveGoneReads = 0;
+    m_consecutiveLostReads = 0;
     m_counters.unreadableRecords += log.unreadableCount;
     if (log.nextOffset > from.offset) {
         m_events.onRecords(m_feed.apply(log.records, {.era = era, .offset = log.nextOffset}));
@@ -207,6 +206,17 @@
     }
 }
 
+void TopicFollower::handleLostPosition()
+{
+    m_needsSnapshot = true;
+    if (++m_consecutiveLostReads == 1) {
+        startNextRequest();
+        return;
+    }
+    ++m_counters.failures;
+    startNextRequestAfter(backoff(m_consecutiveLostReads - 1));
+}
+
 void TopicFollower::handleContact()
 {
     m_consecutiveFailures = 0;
@@ -219,10 +229,15 @@
     ++m_consecutiveFailures;
     m_connection.reset();
     m_events.onFailure(reason);
+    startNextRequestAfter(backoff(m_consecutiveFailures));
+}
+
+Millis TopicFollower::backoff(int failures)
+{
     // The limit of 8 doublings only keeps the power small; maxBackoff is reached earlier.
-    const auto backoff = std::min(maxBackoff, initialBackoff * std::pow(2.0, std::min(m_consecutiveFailures - 1, 8)));
+    const auto longest = std::min(maxBackoff, initialBackoff * std::pow(2.0, std::min(failures - 1, 8)));
     std::uniform_real_distribution<double> jitter(0.5, 1.0);
-    startNextRequestAfter(backoff * jitter(m_random));
+    return longest * jitter(m_random);
 }
 
 }
--- a/src/entry/topicfollower.h
+++ b/src/entry/topicfollower.h
@@ -100,6 +100,9 @@
     void handleSnapshotPage(const Http::Response &response);
     void handleRecords(const Http::Response &response, const Feed::LogPosition &from);
     void handleFailure(std::string_view reason);
+    /// Takes a new snapshot because the position is lost: at once the first time, then with backoff.
+    void handleLostPosition();
+    Millis backoff(int failures);
     /// Ends the backoff and reports contact with the store.
     void handleContact();
 
@@ -120,7 +123,8 @@
     /// Number of the current activation; results of requests from earlier ones are ignored.
     std::uint64_t m_activation = 0;
     int m_consecutiveFailures = 0;
-    int m_consecutiveGoneReads = 0;
+    /// Reads since the last successful one that only made a new snapshot necessary.
+    int m_consecutiveLostReads = 0;
     /// Highest era that the store has stated.
     std::int64_t m_storeEra = 0;
     /// Era of the snapshot pages received so far.
--- a/tests/entry/wholepath.cpp
+++ b/tests/entry/wholepath.cpp
@@ -378,6 +378,23 @@
     CHECK(system.upstreams[0]->executed.size() == drainedCalls);
 }
 
+TEST_CASE("A daemon whose position the store refuses again and again does not call the store without a pause")
+{
+    System system(1);
+    system.store().setEraStated(false);
+    system.publishAll();
+    system.startNode(0);
+    REQUIRE(system.ready(0));
+    const auto copy = system.store().copy();
+    system.store().put(routesTopic, "config", routesJson(2, "s"));
+    REQUIRE(system.runUntil([&] { return system.node(0).controlState().routesVersion == 2; }));
+    system.store().restore(copy);
+    const auto before = system.store().requestCount();
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(2);
+    system.runUntil([&] { return std::chrono::steady_clock::now() > end; });
+    CHECK(system.store().requestCount() - before < 60);
+}
+
 TEST_CASE("While the store does not answer, calls are served and a new daemon gets all records from its peer")
 {
     System system(2);
