--- a/src/entry/topicfollower.cpp
+++ b/src/entry/topicfollower.cpp
@@ -45,6 +45,7 @@
     ++m_activation;
     if (active) {
         m_needsSnapshot = !m_feed.hasSnapshot();
+        discardSnapshotPages();
         startNextRequest();
         return;
     }
@@ -124,6 +125,12 @@
     });
 }
 
+void TopicFollower::discardSnapshotPages()
+{
+    m_snapshotRecords.clear();
+    m_lastSnapshotKey.clear();
+}
+
 void TopicFollower::handleSnapshotPage(const Http::Response &response)
 {
     auto decoded = Platform::decodeSnapshotPage(response);
@@ -131,33 +138,35 @@
     const auto *error = std::get_if<Platform::StoreError>(&decoded);
     const bool isFirstPage = m_lastSnapshotKey.empty();
     // Pages of two eras do not belong to one log.
-    const bool otherEra = era < std::max(m_storeEra, m_feed.position().era) || (!isFirstPage && era != m_snapshotEra);
+    const bool otherEra = era < std::max(m_storeEra, m_feed.position().era) || (!isFirstPage && era != m_snapshotEnd.era);
     if (error || otherEra) {
         m_counters.staleSnapshots += error ? 0 : 1;
-        m_snapshotRecords.clear();
-        m_lastSnapshotKey.clear();
+        discardSnapshotPages();
         handleFailure(error ? Platform::nameOf(*error) : "other-era");
         return;
     }
-    m_snapshotEra = era;
     auto &page = std::get<Platform::SnapshotPage>(decoded);
-    const bool hasNextPage = page.hasMore && !page.records.empty();
-    if (hasNextPage) {
-        m_lastSnapshotKey = page.records.back().key;
+    if (page.hasMore && (page.lastKey.empty() || page.lastKey == m_lastSnapshotKey)) {
+        // The next page would be the same one again, and without it the snapshot is not complete.
+        discardSnapshotPages();
+        handleFailure(Platform::nameOf(Platform::StoreError::Malformed));
+        return;
     }
+    // The pages are read one after the other, so a key of an earlier page may have changed before the end that a later one states.
+    const Feed::LogPosition pageEnd{.era = era, .offset = page.end};
+    m_snapshotEnd = isFirstPage ? pageEnd : std::min(m_snapshotEnd, pageEnd);
+    m_lastSnapshotKey = page.lastKey;
     std::move(page.records.begin(), page.records.end(), std::back_inserter(m_snapshotRecords));
-    if (hasNextPage) {
+    if (page.hasMore) {
         requestSnapshotPage();
         return;
     }
     handleContact();
     const auto records = std::move(m_snapshotRecords);
-    m_snapshotRecords.clear();
-    m_lastSnapshotKey.clear();
+    discardSnapshotPages();
     m_needsSnapshot = false;
-    const Feed::LogPosition end{.era = era, .offset = page.end};
-    m_counters.staleSnapshots += end < m_feed.position() ? 1 : 0;
-    m_events.onRecords(m_feed.applySnapshot(records, end));
+    m_counters.staleSnapshots += m_snapshotEnd < m_feed.position() ? 1 : 0;
+    m_events.onRecords(m_feed.applySnapshot(records, m_snapshotEnd));
     startNextRequest();
 }
 
--- a/src/entry/topicfollower.h
+++ b/src/entry/topicfollower.h
@@ -97,6 +97,7 @@
     void requestRecords();
     /// Notes the era of a response; a later one than that of the feed makes a new snapshot necessary.
     void handleEra(std::int64_t era);
+    void discardSnapshotPages();
     void handleSnapshotPage(const Http::Response &response);
     void handleRecords(const Http::Response &response, const Feed::LogPosition &from);
     void handleFailure(std::string_view reason);
@@ -127,8 +128,8 @@
     int m_consecutiveLostReads = 0;
     /// Highest era that the store has stated.
     std::int64_t m_storeEra = 0;
-    /// Era of the snapshot pages received so far.
-    std::int64_t m_snapshotEra = 0;
+    /// Era of these pages, and the smallest end that one of them states.
+    Feed::LogPosition m_snapshotEnd;
     TopicFollowerCounters m_counters;
 };
 
--- a/src/platform/storeprotocol.cpp
+++ b/src/platform/storeprotocol.cpp
@@ -150,6 +150,9 @@
     page.end = json["end"].get<std::int64_t>();
     page.hasMore = json.value("more", false);
     for (const auto &it : json["items"]) {
+        if (it.is_object() && it.contains("key") && it["key"].is_string()) {
+            page.lastKey = it["key"].get<std::string>();
+        }
         if (auto record = decodeSnapshotItem(it)) {
             page.records.push_back(std::move(*record));
         }
--- a/src/platform/storeprotocol.h
+++ b/src/platform/storeprotocol.h
@@ -45,6 +45,8 @@
     std::vector<Feed::KeyedRecord> records;
     /// Whether the snapshot continues after the last key of this page.
     bool hasMore = false;
+    /// Last key of the page, also of an entry that was left out; empty if no entry has a key.
+    std::string lastKey;
     /// Offset after the last record of the log.
     std::int64_t end = 0;
 };
--- a/tests/entry/wholepath.cpp
+++ b/tests/entry/wholepath.cpp
@@ -395,6 +395,27 @@
     CHECK(system.store().requestCount() - before < 60);
 }
 
+TEST_CASE("A change of an upstream between two pages of a snapshot that a daemon reads is not missed")
+{
+    System system(2);
+    system.publishAll();
+    bool changed = false;
+    system.store().setPages(1, [&] {
+        if (!changed) {
+            changed = true;
+            system.store().put(upstreamsTopic, "w0", system.upstreams[0]->registrationRecord("s", "draining"));
+        }
+    });
+    system.startNode(0);
+    REQUIRE(system.ready(0));
+    CHECK(system.runUntil([&] { return changed && system.node(0).controlState().topics[1].end == 3; }));
+    const auto earlierCalls = system.upstreams[0]->executed.size();
+    for (int i = 0; i < 20; ++i) {
+        CHECK(system.call(0, "/r/x").status == 200);
+    }
+    CHECK(system.upstreams[0]->executed.size() == earlierCalls);
+}
+
 TEST_CASE("While the store does not answer, calls are served and a new daemon gets all records from its peer")
 {
     System system(2);
--- a/tests/platform/fakestore.h
+++ b/tests/platform/fakestore.h
@@ -8,6 +8,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <cstdint>
+#include <functional>
+#include <iterator>
 #include <map>
 #include <memory>
 #include <optional>
@@ -94,6 +96,12 @@
             send(it.responder, 503, {});
         }
     }
+    /// Limits the keys of one page of a snapshot; `afterPage` is called after each page that another one follows.
+    void setPages(std::size_t size, std::function<void()> afterPage)
+    {
+        m_pageSize = size;
+        m_afterPage = std::move(afterPage);
+    }
     /// Whether responses state the era.
     void setEraStated(bool stated)
     {
@@ -149,7 +157,7 @@
         }
         const auto topic = Http::queryParameter(target, "topic").value_or("");
         if (Http::pathOf(target) == "/laburnummast/log-newest") {
-            send(responder, 200, snapshotBody(topic));
+            sendSnapshotPage(topic, Http::queryParameter(target, "after").value_or(""), responder);
         } else if (Http::pathOf(target) == "/laburnummast/log-read") {
             const auto from = static_cast<std::size_t>(Text::parseInteger(Http::queryParameter(target, "from").value_or("")).value_or(0));
             handleRead(topic, from, responder);
@@ -158,28 +166,36 @@
         }
     }
 
-    std::string snapshotBody(const std::string &topic)
+    void sendSnapshotPage(const std::string &topic, const std::string &after, const Http::Responder &responder)
     {
         const auto &log = m_topics[topic].log;
         std::map<std::string, std::size_t> latestIndices;
         for (std::size_t i = 0; i < log.size(); ++i) {
             latestIndices[log[i].first] = i;
         }
+        std::erase_if(latestIndices, [&](const auto &it) { return it.first <= after || log[it.second].second.empty(); });
+        const bool hasMore = latestIndices.size() > m_pageSize;
+        if (hasMore) {
+            latestIndices.erase(std::next(latestIndices.begin(), static_cast<std::ptrdiff_t>(m_pageSize)), latestIndices.end());
+        }
         std::string items;
         for (const auto &[key, i] : latestIndices) {
-            if (!log[i].second.empty()) {
-                Text::append(items,
-                             items.empty() ? "" : ",",
-                             R"({"key":")",
-                             key,
-                             R"(","value":")",
-                             Text::toBase64(log[i].second),
-                             R"(","offset":)",
-                             i,
-                             "}");
-            }
+            Text::append(items,
+                         items.empty() ? "" : ",",
+                         R"({"key":")",
+                         key,
+                         R"(","value":")",
+                         Text::toBase64(log[i].second),
+                         R"(","offset":)",
+                         i,
+                         "}");
+        }
+        send(responder,
+             200,
+             Text::concat(R"({"items":[)", items, R"(],"more":)", hasMore ? "true" : "false", R"(,"end":)", log.size(), "}"));
+        if (hasMore && m_afterPage) {
+            m_afterPage();
         }
-        return Text::concat(R"({"items":[)", items, R"(],"more":false,"end":)", log.size(), "}");
     }
 
     void handleRead(const std::string &topic, std::size_t from, const Http::Responder &responder)
@@ -235,6 +251,8 @@
     Mode m_mode = Mode::Normal;
     std::int64_t m_era = 1;
     bool m_eraStated = true;
+    std::size_t m_pageSize = 500;
+    std::function<void()> m_afterPage;
     int m_requestCount = 0;
 };
 
--- a/tests/platform/storeprotocol.cpp
+++ b/tests/platform/storeprotocol.cpp
@@ -89,6 +89,15 @@
     CHECK(page.records[0].value == "abc");
 }
 
+TEST_CASE("The last key of a snapshot page is also known if its entry cannot be decoded, so that the next page follows it")
+{
+    const auto decoded = decodeSnapshotPage(
+        {.body = R"({"items":[{"key":"a","value":"YWJj","offset":4},{"key":"b","value":"YWJj"},7],"more":true,"end":6})"});
+    REQUIRE(std::holds_alternative<SnapshotPage>(decoded));
+    CHECK(std::get<SnapshotPage>(decoded).records.size() == 1);
+    CHECK(std::get<SnapshotPage>(decoded).lastKey == "b");
+}
+
 TEST_CASE("Decoding random bytes as a response of the store does not crash")
 {
     std::mt19937_64 random(1);
