--- a/src/entry/topicfollower.h
+++ b/src/entry/topicfollower.h
@@ -97,9 +97,13 @@
     void requestRecords();
     /// Notes the era of a response; a later one than that of the feed makes a new snapshot necessary.
     void handleEra(std::int64_t era);
+    void discardSnapshotPages();
     void handleSnapshotPage(const Http::Response &response);
     void handleRecords(const Http::Response &response, const Feed::LogPosition &from);
     void handleFailure(std::string_view reason);
+    /// Takes a new snapshot because the position is lost: at once the first time, then with backoff.
+    void handleLostPosition();
+    Millis backoff(int failures);
     /// Ends the backoff and reports contact with the store.
     void handleContact();
 
@@ -120,11 +124,12 @@
     /// Number of the current activation; results of requests from earlier ones are ignored.
     std::uint64_t m_activation = 0;
     int m_consecutiveFailures = 0;
-    int m_consecutiveGoneReads = 0;
+    /// Reads since the last successful one that only made a new snapshot necessary.
+    int m_consecutiveLostReads = 0;
     /// Highest era that the store has stated.
     std::int64_t m_storeEra = 0;
-    /// Era of the snapshot pages received so far.
-    std::int64_t m_snapshotEra = 0;
+    /// Era of these pages, and the smallest end that one of them states.
+    Feed::LogPosition m_snapshotEnd;
     TopicFollowerCounters m_counters;
 };
 
--- a/tests/entry/wholepath.cpp
+++ b/tests/entry/wholepath.cpp
@@ -410,6 +410,84 @@
     CHECK(system.runUntil([&] { return system.call(0, "/added/x").status == 404; }));
 }
 
+TEST_CASE("Upstreams that an older copy of the store does not list yet still get calls, and draining ones that it lists as ready do not")
+{
+    System system(2);
+    system.store().put(routesTopic, "config", routesJson(1, "s"));
+    system.store().put(upstreamsTopic, "w0", system.upstreams[0]->registrationRecord("s"));
+    system.startNode(0);
+    REQUIRE(system.ready(0));
+    const auto copy = system.store().copy();
+    system.store().put(upstreamsTopic, "w1", system.upstreams[1]->registrationRecord("s"));
+    system.store().put(upstreamsTopic, "w0", system.upstreams[0]->registrationRecord("s", "draining"));
+    REQUIRE(system.runUntil([&] { return system.node(0).controlState().topics[1].end == 3; }));
+    const auto drainedCalls = system.upstreams[0]->executed.size();
+    system.store().restore(copy);
+    REQUIRE(system.runUntil([&] { return system.node(0).controlState().topics[1].era == 2; }));
+    for (int i = 0; i < 20; ++i) {
+        CHECK(system.call(0, "/r/x").status == 200);
+    }
+    CHECK(system.upstreams[0]->executed.size() == drainedCalls);
+}
+
+TEST_CASE("A daemon whose position the store refuses again and again does not call the store without a pause")
+{
+    System system(1);
+    system.store().setEraStated(false);
+    system.publishAll();
+    system.startNode(0);
+    REQUIRE(system.ready(0));
+    const auto copy = system.store().copy();
+    system.store().put(routesTopic, "config", routesJson(2, "s"));
+    REQUIRE(system.runUntil([&] { return system.node(0).controlState().routesVersion == 2; }));
+    system.store().restore(copy);
+    const auto before = system.store().requestCount();
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(2);
+    system.runUntil([&] { return std::chrono::steady_clock::now() > end; });
+    CHECK(system.store().requestCount() - before < 60);
+}
+
+TEST_CASE("A change of an upstream between two pages of a snapshot that a daemon reads is not missed")
+{
+    System system(2);
+    system.publishAll();
+    bool changed = false;
+    system.store().setPages(1, [&] {
+        if (!changed) {
+            changed = true;
+            system.store().put(upstreamsTopic, "w0", system.upstreams[0]->registrationRecord("s", "draining"));
+        }
+    });
+    system.startNode(0);
+    REQUIRE(system.ready(0));
+    CHECK(system.runUntil([&] { return changed && system.node(0).controlState().topics[1].end == 3; }));
+    const auto earlierCalls = system.upstreams[0]->executed.size();
+    for (int i = 0; i < 20; ++i) {
+        CHECK(system.call(0, "/r/x").status == 200);
+    }
+    CHECK(system.upstreams[0]->executed.size() == earlierCalls);
+}
+
+TEST_CASE("A daemon that starts after the store returned from an older copy takes the later routes that its peer has in force")
+{
+    System system(1);
+    system.publishAll();
+    system.startNode(0);
+    REQUIRE(system.ready(0));
+    const auto copy = system.store().copy();
+    system.store().put(routesTopic, "config", routesJson(3, "s"));
+    REQUIRE(system.runUntil([&] { return system.node(0).controlState().routesVersion == 3; }));
+    system.store().restore(copy);
+    REQUIRE(system.runUntil([&] { return system.node(0).controlState().topics[0].era == 2; }));
+    system.startNode(1);
+    CHECK(system.runUntil([&] { return system.node(1).controlState().routesVersion == 3; }));
+    CHECK(system.node(1).controlState().topics[0].end == 1);
+    system.store().put(routesTopic, "config", routesJson(4, "s2"));
+    for (const std::size_t n : {0, 1}) {
+        CHECK(system.runUntil([&] { return system.node(n).controlState().routesVersion == 4; }));
+    }
+}
+
 TEST_CASE("While the store does not answer, calls are served and a new daemon gets all records from its peer")
 {
     System system(2);
