Take the latest routes that any peer has in force after the store returned from a copy

Cause: a daemon keeps its version over a change of era, but the record that it gives to others is the one of the copy, and a daemon that has read the copy itself asks nobody.

Fix: a report states the version of the routes in force (at its end, so older daemons still read it). A daemon at the same position with an earlier version fetches the records, in which the routes in force take the place of a record that is not. Versions only rise, so the older one cannot come back this way either.

--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -53,7 +53,7 @@
               settings,
               {.onMember = [this](const Membership::MemberChanged &it) { handleMemberChange(it); },
                .onReport = [this](const PeerReport &it) { handleReport(it); },
-               .recordsSince = [this](Topic topic, const Feed::LogPosition &from) { return followedTopic(topic).feed.deltaSince(from); },
+               .recordsSince = [this](Topic topic, const Feed::LogPosition &from) { return recordsSince(topic, from); },
                .onRecords = [this](Topic topic, const Feed::FeedDelta &delta) { applyPeerRecords(topic, delta); }})
     , m_timer(loop)
     , m_startedAt(Process::steadyNow())
@@ -237,6 +237,7 @@
     }
     m_outcomes.clear();
     report.observations.contention = std::exchange(m_contention, {});
+    report.routesVersion = m_routes ? m_routes->version() : 0;
     m_peers.sendReport(report, toAll);
 }
 
@@ -258,6 +259,9 @@
             // Contact through a peer is as old as the peer's own. It counts only at the same position, because it does not cover
             // records that this daemon has not fetched yet.
             recordContact(topic, now - peerPosition.contactAge, false);
+            if (topic == Topic::Routes && report.routesVersion > (m_routes ? m_routes->version() : 0)) {
+                m_peers.fetchRecords(topic, {}, recordsAddressOf(report));
+            }
         }
         const auto name = topic == Topic::Routes ? Platform::routesTopic() : Platform::upstreamsTopic();
         // Rank 1 after a single other daemon means that the peer ranks higher.
@@ -271,6 +275,19 @@
     }
 }
 
+Feed::FeedDelta Control::recordsSince(Topic topic, const Feed::LogPosition &from) const
+{
+    auto delta = followedTopic(topic).feed.deltaSince(from);
+    if (topic == Topic::Routes && m_routes) {
+        for (auto &it : delta.records) {
+            if (it.key == Platform::routesKey() && it.value) {
+                it.value = m_routesValue;
+            }
+        }
+    }
+    return delta;
+}
+
 void Control::applyPeerRecords(Topic topic, const Feed::FeedDelta &delta)
 {
     const auto n = followedTopic(topic).feed.applyDelta(delta);
@@ -279,6 +296,15 @@
              {"records", textOf(static_cast<std::int64_t>(n))},
              {"position", textOf(delta.end)},
              {"era", textOf(delta.era)}});
+    if (topic == Topic::Routes) {
+        // At the same position the feed ignores the record, but the peer may have a later version in force than the store's copy.
+        const auto *known = followedTopic(topic).feed.find(Platform::routesKey());
+        for (const auto &it : delta.records) {
+            if (it.key == Platform::routesKey() && known && *known != it.value) {
+                applyRoutesRecord(it);
+            }
+        }
+    }
     scheduleViewUpdate();
 }
 
@@ -305,6 +331,7 @@
              {"offset", textOf(record.offset)},
              {"routes", textOf(static_cast<std::int64_t>(table.routeCount()))}});
     m_routes = std::make_shared<const Routes::RouteTable>(std::move(table));
+    m_routesValue = *record.value;
 }
 
 void Control::applyUpstreamRecord(const Feed::KeyedRecord &record)
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -128,6 +128,8 @@
     void handleMemberChange(const Membership::MemberChanged &change);
     void handleReport(const PeerReport &report);
     void applyPeerRecords(Topic topic, const Feed::FeedDelta &delta);
+    /// Records of the feed for another daemon; the routes in force replace a record of routes that are not in force.
+    Feed::FeedDelta recordsSince(Topic topic, const Feed::LogPosition &from) const;
     /// Sends a report to all peers, or to some if there are many and `toAll` is not set.
     void sendReport(bool toAll);
     Millis reportInterval(bool isReader) const;
@@ -147,6 +149,8 @@
     Fleet::ReaderTimeouts m_readerTimeouts;
     Fleet::UpstreamTable m_upstreams;
     std::shared_ptr<const Routes::RouteTable> m_routes;
+    /// Record of the routes in force; after the store has returned from a copy, its own may be older.
+    std::string m_routesValue;
     PeerLink m_peers;
     /// Outcomes for the next report, by upstream.
     std::map<std::string, UpstreamOutcome> m_outcomes;
--- a/src/entry/peerreport.cpp
+++ b/src/entry/peerreport.cpp
@@ -30,7 +30,8 @@
             report.feeds,
             report.observations.outcomes,
             report.observations.contention,
-            eras);
+            eras,
+            report.routesVersion);
     return stream.str();
 }
 
@@ -73,6 +74,9 @@
                 report.feeds[i].era = eras[i];
             }
         }
+        if (!archive.atEnd()) {
+            archive(report.routesVersion);
+        }
         return report;
     } catch (const std::exception &) {
         return PeerReportError::Malformed;
--- a/src/entry/peerreport.h
+++ b/src/entry/peerreport.h
@@ -100,6 +100,8 @@
     /// Indexed by `Topic`.
     std::array<FeedPosition, topicCount> feeds{};
     Observations observations;
+    /// Version of the routes in force; 0 if there are none or an older daemon sent the report.
+    std::uint64_t routesVersion = 0;
 };
 
 /// Why a report or records cannot be decoded.
--- a/tests/entry/peerreport.cpp
+++ b/tests/entry/peerreport.cpp
@@ -57,10 +57,12 @@
 {
     auto report = sampleReport();
     report.feeds[1].era = 3;
+    report.routesVersion = 8;
     const auto decoded = decodeReport(encodeReport(report));
     REQUIRE(std::holds_alternative<PeerReport>(decoded));
     CHECK(std::get<PeerReport>(decoded).feeds[0].position() == Feed::LogPosition{.era = 0, .offset = 77});
     CHECK(std::get<PeerReport>(decoded).feeds[1].era == 3);
+    CHECK(std::get<PeerReport>(decoded).routesVersion == 8);
 
     const Feed::FeedDelta delta{.end = 5, .isSnapshot = true, .records = {{.key = "a", .offset = 4, .value = "x"}}, .era = 2};
     const auto records = decodeRecords(encodeRecords(delta));
--- a/tests/entry/wholepath.cpp
+++ b/tests/entry/wholepath.cpp
@@ -416,6 +416,26 @@
     CHECK(system.upstreams[0]->executed.size() == earlierCalls);
 }
 
+TEST_CASE("A daemon that starts after the store returned from an older copy takes the later routes that its peer has in force")
+{
+    System system(1);
+    system.publishAll();
+    system.startNode(0);
+    REQUIRE(system.ready(0));
+    const auto copy = system.store().copy();
+    system.store().put(routesTopic, "config", routesJson(3, "s"));
+    REQUIRE(system.runUntil([&] { return system.node(0).controlState().routesVersion == 3; }));
+    system.store().restore(copy);
+    REQUIRE(system.runUntil([&] { return system.node(0).controlState().topics[0].era == 2; }));
+    system.startNode(1);
+    CHECK(system.runUntil([&] { return system.node(1).controlState().routesVersion == 3; }));
+    CHECK(system.node(1).controlState().topics[0].end == 1);
+    system.store().put(routesTopic, "config", routesJson(4, "s2"));
+    for (const std::size_t n : {0, 1}) {
+        CHECK(system.runUntil([&] { return system.node(n).controlState().routesVersion == 4; }));
+    }
+}
+
 TEST_CASE("While the store does not answer, calls are served and a new daemon gets all records from its peer")
 {
     System system(2);
