--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -54,7 +54,7 @@
               {.onMember = [this](const Membership::MemberChanged &it) { handleMemberChange(it); },
                .onReport = [this](const PeerReport &it) { handleReport(it); },
                .currentReport = [this] { return positionReport(); },
-               .recordsSince = [this](Topic topic, const Feed::LogPosition &from) { return followedTopic(topic).feed.deltaSince(from); },
+               .recordsSince = [this](Topic topic, const Feed::LogPosition &from) { return recordsSince(topic, from); },
                .onRecords = [this](Topic topic, const Feed::FeedDelta &delta) { applyPeerRecords(topic, delta); }})
     , m_timer(loop)
     , m_startedAt(Process::steadyNow())
@@ -225,7 +225,8 @@
                       .ip = m_settings.ip,
                       .recordsPort = internalAddress(m_settings, InternalPort::Members).port,
                       .feeds = {},
-                      .observations = {}};
+                      .observations = {},
+                      .routesVersion = m_routes ? m_routes->version() : 0};
     for (std::size_t i = 0; i < topicCount; ++i) {
         const auto &followed = *m_topics[i];
         report.feeds[i] = {.end = followed.feed.end(),
@@ -271,6 +272,9 @@
             // Contact through a peer is as old as the peer's own. It counts only at the same position, because it does not cover
             // records that this daemon has not fetched yet.
             recordContact(topic, now - peerPosition.contactAge, false);
+            if (topic == Topic::Routes && report.routesVersion > (m_routes ? m_routes->version() : 0)) {
+                m_peers.fetchRecords(topic, {}, recordsAddressOf(report));
+            }
         }
         const auto name = topic == Topic::Routes ? Platform::routesTopic() : Platform::upstreamsTopic();
         // Rank 1 after a single other daemon means that the peer ranks higher.
@@ -284,6 +288,19 @@
     }
 }
 
+Feed::FeedDelta Control::recordsSince(Topic topic, const Feed::LogPosition &from) const
+{
+    auto delta = followedTopic(topic).feed.deltaSince(from);
+    if (topic == Topic::Routes && m_routes) {
+        for (auto &it : delta.records) {
+            if (it.key == Platform::routesKey() && it.value) {
+                it.value = m_routesValue;
+            }
+        }
+    }
+    return delta;
+}
+
 void Control::applyPeerRecords(Topic topic, const Feed::FeedDelta &delta)
 {
     const auto n = followedTopic(topic).feed.applyDelta(delta);
@@ -292,6 +309,15 @@
              {"records", textOf(static_cast<std::int64_t>(n))},
              {"position", textOf(delta.end)},
              {"era", textOf(delta.era)}});
+    if (topic == Topic::Routes) {
+        // At the same position the feed ignores the record, but the peer may have a later version in force than the store's copy.
+        const auto *known = followedTopic(topic).feed.find(Platform::routesKey());
+        for (const auto &it : delta.records) {
+            if (it.key == Platform::routesKey() && known && *known != it.value) {
+                applyRoutesRecord(it);
+            }
+        }
+    }
     scheduleViewUpdate();
 }
 
@@ -318,6 +344,7 @@
              {"offset", textOf(record.offset)},
              {"routes", textOf(static_cast<std::int64_t>(table.routeCount()))}});
     m_routes = std::make_shared<const Routes::RouteTable>(std::move(table));
+    m_routesValue = *record.value;
 }
 
 void Control::applyUpstreamRecord(const Feed::KeyedRecord &record)
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -130,6 +130,8 @@
     void applyPeerRecords(Topic topic, const Feed::FeedDelta &delta);
     /// Report of this daemon's position in all topics, without observations.
     PeerReport positionReport() const;
+    /// Records of the feed for another daemon; the routes in force replace a record of routes that are not in force.
+    Feed::FeedDelta recordsSince(Topic topic, const Feed::LogPosition &from) const;
     /// Sends a report to all peers, or to some if there are many and `toAll` is not set.
     void sendReport(bool toAll);
     Millis reportInterval(bool isReader) const;
@@ -152,6 +154,8 @@
     std::shared_ptr<const Routes::RouteTable> m_routes;
     /// Latest position of the routes that a peer reported.
     Feed::LogPosition m_reportedRoutesPosition;
+    /// Record of the routes in force; after the store has returned from a copy, its own may be older.
+    std::string m_routesValue;
     PeerLink m_peers;
     /// Outcomes for the next report, by upstream.
     std::map<std::string, UpstreamOutcome> m_outcomes;
