Server connection: a chunk extension or trailer without end is rejected instead of buffered

What was seen: a chunk extension or a trailer above the head's limit was kept in memory, by the code without any bound as long as something arrived within each header timeout. Found while the same was bounded for answers of upstreams.

Cause: bytes that the parser leaves unparsed were bounded only up to the end of the head.

Evidence: a chunk extension and a trailer of 3,000 bytes under a head limit of 1,000 get no 400 without the fix, 2 assertions. The case for bodies beyond the limit that arrive with their head passed before as well.

Fix: unparsed bytes are bounded by the head's limit throughout a request; behind the head the request is malformed.

--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -168,12 +168,15 @@
         dispatch();
         return;
     }
-    if (m_parser->is_header_done()) {
+    const bool headDone = m_parser->is_header_done();
+    // The parser takes body bytes at once; what it leaves behind a head is part of a chunk header or trailer.
+    if (m_buffer.size() > m_listener->limits.maxHeaderBytes) {
+        reject(headDone ? RejectReason::Malformed : RejectReason::HeadTooLarge);
+        return;
+    }
+    if (headDone) {
         startTimer(m_listener->limits.headerTimeout);
         sendContinue();
-    } else if (m_buffer.size() > m_listener->limits.maxHeaderBytes) {
-        reject(RejectReason::HeadTooLarge);
-        return;
     }
     read();
 }
--- a/tests/http/exchange.cpp
+++ b/tests/http/exchange.cpp
@@ -336,6 +336,28 @@
     CHECK(server.requests.empty());
 }
 
+TEST_CASE("A body beyond the limit that arrives together with its head is rejected with 413 and not parsed as further header lines")
+{
+    TestServer server(answerOk);
+    server.listener.setLimits({.maxBodyBytes = 10, .headerTimeout = 1_s});
+    const std::string head = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: ";
+    CHECK(server.exchangeRaw(head + "11\r\n\r\n01234567890").find("HTTP/1.1 413") == 0);
+    CHECK(server.exchangeRaw(head + "18\r\n\r\nX: y\r\nZ: y\r\n\r\nabcd").find("HTTP/1.1 413") == 0);
+    CHECK(server.exchangeRaw(head + "9000000000000000\r\n\r\nabc").find("HTTP/1.1 413") == 0);
+    CHECK(server.requests.empty());
+}
+
+TEST_CASE("A chunk extension or trailer without end is rejected and not buffered without a bound")
+{
+    const std::string head = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (const auto &beginning : {head + "1;x=", head + "0\r\nX: "}) {
+        TestServer server(answerOk);
+        server.listener.setLimits({.maxHeaderBytes = 1000});
+        CHECK(server.exchangeRaw(beginning + std::string(3000, 'x')).find("HTTP/1.1 400") == 0);
+        CHECK(server.requests.empty());
+    }
+}
+
 TEST_CASE("An incomplete request is rejected with 408 after the header timeout")
 {
     TestServer server(answerOk);
