--- a/tests/http/exchange.cpp
+++ b/tests/http/exchange.cpp
@@ -396,6 +396,21 @@
     CHECK(server.disconnected == server.ids);
 }
 
+TEST_CASE("The handler is notified when a client disconnects whose next request has already arrived")
+{
+    TestServer server([](const Request &, const Responder &) {});
+    auto socket = server.connect();
+    Asio::write(socket, Asio::buffer(std::string("GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n")));
+    CHECK(server.runUntil([&] { return !server.requests.empty(); }));
+    Asio::write(socket, Asio::buffer(std::string("GET /3 HTTP/1.1\r\nHost: h\r\n\r\n")));
+    server.loop.restart();
+    server.loop.run_for(std::chrono::milliseconds(5));
+    socket.close();
+    CHECK(server.runUntil([&] { return !server.disconnected.empty(); }));
+    CHECK(server.disconnected == server.ids);
+    CHECK(server.requests.size() == 1);
+}
+
 TEST_CASE("A draining listener closes idle connections and still answers requests that it has read")
 {
     std::optional<Responder> pending;
