--- a/tests/http/exchange.cpp
+++ b/tests/http/exchange.cpp
@@ -336,6 +336,28 @@
     CHECK(server.requests.empty());
 }
 
+TEST_CASE("A body beyond the limit that arrives together with its head is rejected with 413 and not parsed as further header lines")
+{
+    TestServer server(answerOk);
+    server.listener.setLimits({.maxBodyBytes = 10, .headerTimeout = 1_s});
+    const std::string head = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: ";
+    CHECK(server.exchangeRaw(head + "11\r\n\r\n01234567890").find("HTTP/1.1 413") == 0);
+    CHECK(server.exchangeRaw(head + "18\r\n\r\nX: y\r\nZ: y\r\n\r\nabcd").find("HTTP/1.1 413") == 0);
+    CHECK(server.exchangeRaw(head + "9000000000000000\r\n\r\nabc").find("HTTP/1.1 413") == 0);
+    CHECK(server.requests.empty());
+}
+
+TEST_CASE("A chunk extension or trailer without end is rejected and not buffered without a bound")
+{
+    const std::string head = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (const auto &beginning : {head + "1;x=", head + "0\r\nX: "}) {
+        TestServer server(answerOk);
+        server.listener.setLimits({.maxHeaderBytes = 1000});
+        CHECK(server.exchangeRaw(beginning + std::string(3000, 'x')).find("HTTP/1.1 400") == 0);
+        CHECK(server.requests.empty());
+    }
+}
+
 TEST_CASE("An incomplete request is rejected with 408 after the header timeout")
 {
     TestServer server(answerOk);
@@ -374,6 +396,21 @@
     CHECK(server.disconnected == server.ids);
 }
 
+TEST_CASE("The handler is notified when a client disconnects whose next request has already arrived")
+{
+    TestServer server([](const Request &, const Responder &) {});
+    auto socket = server.connect();
+    Asio::write(socket, Asio::buffer(std::string("GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n")));
+    CHECK(server.runUntil([&] { return !server.requests.empty(); }));
+    Asio::write(socket, Asio::buffer(std::string("GET /3 HTTP/1.1\r\nHost: h\r\n\r\n")));
+    server.loop.restart();
+    server.loop.run_for(std::chrono::milliseconds(5));
+    socket.close();
+    CHECK(server.runUntil([&] { return !server.disconnected.empty(); }));
+    CHECK(server.disconnected == server.ids);
+    CHECK(server.requests.size() == 1);
+}
+
 TEST_CASE("A draining listener closes idle connections and still answers requests that it has read")
 {
     std::optional<Responder> pending;
