Write usage again that the log lost when it came back from an older copy

After a restore `usage verify` reported a gap in the chain of every daemon whose records were lost, as if an owner had removed them, and exited as refused. By the code, the use itself was also missing for as long as the counters of a daemon did not change.

UsageReporter took a record for written once the log had acknowledged it, and sent counters again only after a change. UsageAudit took only a repeat of a writer's last record as no fault.

When the configuration enters a later era of the log, each daemon appends its last 16 usage records again with the same bytes, and all counters, also those of processes that ended, with the next record. Counters are merged by maximum, so nothing counts twice. The audit orders a writer's records by sequence number: a missing number is a gap, two records with one number or a wrong previous hash are a break, as before. A record that comes late, with its own bytes, is no fault any more; it cannot be told from one that was appended again.

The check of the chain waits, since the records are appended one after the other.

--- a/src/core/usage/usagechain.cpp
+++ b/src/core/usage/usagechain.cpp
@@ -2,6 +2,7 @@
 
 #include "core/keyedhash.h"
 
+#include <algorithm>
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/map.hpp>
 #include <cereal/types/string.hpp>
@@ -91,42 +92,61 @@
         return;
     }
     const auto &record = std::get<UsageRecord>(decoded);
-    checkChain(offset, record, sha256Hex(bytes));
+    addLink(offset, record, sha256Hex(bytes));
     for (const auto &it : record.entries) {
         countEntry(offset, record, it);
     }
 }
 
-// An append whose acknowledgement was lost is sent again with the same bytes. Such a repeat is not a fault.
-void UsageAudit::checkChain(std::int64_t offset, const UsageRecord &record, const std::string &hash)
+// An append whose acknowledgement was lost, and records that the log lost in a restore, are sent again with the same bytes. Such a
+// repeat is not a fault.
+void UsageAudit::addLink(std::int64_t offset, const UsageRecord &record, const std::string &hash)
 {
     auto &chain = m_chains[record.writer];
-    if (chain.nextSequence > 0 && hash == chain.lastHash) {
-        ++m_repeats;
+    const auto [it, inserted]
+        = chain.try_emplace(record.sequence, Link{.offset = offset, .previousHash = record.previousHash, .hash = hash});
+    if (inserted) {
         return;
     }
-    const auto fault = [&](ChainFaultKind kind) {
-        m_faults.push_back({.kind = kind, .offset = offset, .writer = record.writer, .sequence = record.sequence});
-    };
-    if (record.sequence > chain.nextSequence) {
-        fault(ChainFaultKind::Gap);
-    } else if (record.sequence < chain.nextSequence || record.previousHash != chain.lastHash) {
-        fault(ChainFaultKind::Break);
+    if (it->second.hash == hash) {
+        ++m_repeats;
+    } else {
+        m_faults.push_back({.kind = ChainFaultKind::Break, .offset = offset, .writer = record.writer, .sequence = record.sequence});
+    }
+}
+
+std::vector<ChainFault> UsageAudit::faults() const
+{
+    auto faults = m_faults;
+    for (const auto &[writer, chain] : m_chains) {
+        std::uint64_t nextSequence = 0;
+        std::string lastHash;
+        for (const auto &[sequence, link] : chain) {
+            if (sequence != nextSequence) {
+                faults.push_back({.kind = ChainFaultKind::Gap, .offset = link.offset, .writer = writer, .sequence = sequence});
+            } else if (link.previousHash != lastHash) {
+                faults.push_back({.kind = ChainFaultKind::Break, .offset = link.offset, .writer = writer, .sequence = sequence});
+            }
+            nextSequence = sequence + 1;
+            lastHash = link.hash;
+        }
     }
-    chain.nextSequence = record.sequence + 1;
-    chain.lastHash = hash;
+    std::stable_sort(faults.begin(), faults.end(), [](const ChainFault &a, const ChainFault &b) { return a.offset < b.offset; });
+    return faults;
 }
 
 void UsageAudit::countEntry(std::int64_t offset, const UsageRecord &record, const UsageEntry &entry)
 {
     auto &table = m_sources[entry.source];
+    // A record that was appended again after later ones states lower counters than these.
+    const bool isNewest = m_chains[record.writer].rbegin()->first == record.sequence;
     const auto dayNumber = static_cast<std::int64_t>(record.at / dayLength);
     for (const auto &[key, counters] : entry.table) {
         auto &maximum = table[key];
         const auto before = maximum;
         maximum.mergeMaximum(counters);
         // Counters may only be lower than before in copies written by other members, which may be outdated.
-        if (entry.source == record.writer && counters.calls < before.calls) {
+        if (isNewest && entry.source == record.writer && counters.calls < before.calls) {
             m_faults.push_back({.kind = ChainFaultKind::Shrunk, .offset = offset, .writer = record.writer, .sequence = record.sequence});
         }
         m_byDay[dayNumber][key] += increase(before, maximum);
--- a/src/core/usage/usagechain.h
+++ b/src/core/usage/usagechain.h
@@ -105,18 +105,18 @@
 {
 public:
     /// Processes the record at `offset` of the log; records must be added in log order.
+    ///
+    /// Records of a writer may be out of order and repeated: what the log lost in a restore is appended again.
     void addRecord(std::int64_t offset, std::string_view bytes);
 
-    const std::vector<ChainFault> &faults() const
-    {
-        return m_faults;
-    }
+    /// Faults of the records added so far.
+    std::vector<ChainFault> faults() const;
     /// Number of records added, repeats and unreadable ones included.
     std::uint64_t records() const
     {
         return m_records;
     }
-    /// Number of records that equal the preceding record of their writer.
+    /// Number of records that equal an earlier record of their writer.
     std::uint64_t repeats() const
     {
         return m_repeats;
@@ -133,18 +133,23 @@
     }
 
 private:
-    struct Chain
+    struct Link
     {
-        std::uint64_t nextSequence = 0;
-        std::string lastHash;
+        std::int64_t offset = 0;
+        std::string previousHash;
+        std::string hash;
     };
 
-    void checkChain(std::int64_t offset, const UsageRecord &record, const std::string &hash);
+    /// Records of one writer by sequence number.
+    using Chain = std::map<std::uint64_t, Link>;
+
+    void addLink(std::int64_t offset, const UsageRecord &record, const std::string &hash);
     void countEntry(std::int64_t offset, const UsageRecord &record, const UsageEntry &entry);
 
     std::map<UsageSource, Chain> m_chains;
     UsageBySource m_sources;
     std::map<std::int64_t, UsageTable> m_byDay;
+    /// Faults of single records; those between the records of a chain are found by faults().
     std::vector<ChainFault> m_faults;
     std::uint64_t m_records = 0;
     std::uint64_t m_repeats = 0;
--- a/src/daemon/control.cpp
+++ b/src/daemon/control.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <ctime>
+#include <utility>
 
 namespace Laburnummast::Daemon
 {
@@ -184,6 +185,7 @@
         m_usageReporter.shareWithPeers(m_membership.serving());
         m_keys.expire();
     }
+    m_usageReporter.enqueueRepeated();
     if (now >= m_nextUsageLog) {
         m_nextUsageLog = now + m_settings.usageLogInterval;
         m_usageReporter.enqueueForLog(m_membership.others());
@@ -332,6 +334,10 @@
 
 void Control::handleConfigChange()
 {
+    const auto era = Config::eraOf(m_config.position().offset + 1);
+    if (std::exchange(m_usageEra, era) != era) {
+        m_usageReporter.repeatRecords();
+    }
     // Waiting publish() calls are woken only after traffic uses the configuration.
     m_traffic.setConfig(m_config.runtimeConfig());
     Membership::MembershipActions actions;
--- a/src/daemon/control.h
+++ b/src/daemon/control.h
@@ -132,6 +132,8 @@
     std::set<std::string> m_divergedHosts;
     /// Offset of the last snapshot that was loaded here or became due, even if another member was selected to write it.
     Config::Offset m_lastSnapshotOffset = Config::noOffset;
+    /// Era of the log in which usage was last written, as far as known here.
+    std::int64_t m_usageEra = 0;
     Millis m_nextUsageShare;
     Millis m_nextUsageLog;
     Millis m_nextHostListPoll;
--- a/src/daemon/usagereporter.cpp
+++ b/src/daemon/usagereporter.cpp
@@ -16,6 +16,8 @@
 // A running process increments its incarnation to refute false reports of its death. A restarted process takes its incarnation
 // from the clock in milliseconds, which is much higher. A difference below this limit therefore means the same process.
 constexpr std::uint64_t maxRefutationsPerRun = 1000;
+// Records that are written again after the log was restored from a copy.
+constexpr std::size_t maxRecentRecords = 16;
 
 }
 
@@ -67,7 +69,26 @@
     for (const auto &it : entries) {
         (it.source == ledger.self() ? m_lastLogged : m_lastLoggedForEnded[it.source]) = it.table;
     }
-    m_outbox.tryEnqueue(std::string(Net::usageStream), m_chain.encodeNext(std::move(entries), Process::wallNow()));
+    m_recentRecords.push_back(m_chain.encodeNext(std::move(entries), Process::wallNow()));
+    if (m_recentRecords.size() > maxRecentRecords) {
+        m_recentRecords.pop_front();
+    }
+    m_outbox.tryEnqueue(std::string(Net::usageStream), m_recentRecords.back());
+}
+
+void UsageReporter::repeatRecords()
+{
+    m_recordsToRepeat = m_recentRecords;
+    // Counters of a record that is no longer kept here are written with the next one.
+    m_lastLogged.clear();
+    m_lastLoggedForEnded.clear();
+}
+
+void UsageReporter::enqueueRepeated()
+{
+    if (!m_recordsToRepeat.empty() && m_outbox.tryEnqueue(std::string(Net::usageStream), m_recordsToRepeat.front())) {
+        m_recordsToRepeat.pop_front();
+    }
 }
 
 }
--- a/src/daemon/usagereporter.h
+++ b/src/daemon/usagereporter.h
@@ -7,6 +7,7 @@
 #include "daemon/traffic.h"
 #include "daemon/workerpool.h"
 
+#include <deque>
 #include <map>
 #include <string>
 #include <vector>
@@ -26,6 +27,10 @@
     ///
     /// The record includes the copies from processes that no longer run according to `others`.
     void enqueueForLog(const std::vector<Membership::Member> &others);
+    /// Has the latest records written again, because the log was restored from a copy that may lack them.
+    void repeatRecords();
+    /// Queues the next record that repeatRecords() left to be written, unless one is pending.
+    void enqueueRepeated();
 
 private:
     Usage::UsageSource m_self;
@@ -38,6 +43,10 @@
     Usage::UsageTable m_lastLogged;
     /// Last logged counters of processes that ended.
     std::map<Usage::UsageSource, Usage::UsageTable> m_lastLoggedForEnded;
+    /// Latest encoded records, oldest first.
+    std::deque<std::string> m_recentRecords;
+    /// Records still to be written again, oldest first.
+    std::deque<std::string> m_recordsToRepeat;
 };
 
 }
--- a/tests/daemon/restore.cpp
+++ b/tests/daemon/restore.cpp
@@ -1,3 +1,4 @@
+#include "core/usage/usagechain.h"
 #include "daemon/system.h"
 #include "support/notes.h"
 
@@ -14,6 +15,30 @@
     return std::any_of(notes.begin(), notes.end(), [&](const auto &it) { return it["id"] == id && it["verdict"] == "accepted"; });
 }
 
+// Audit of all usage records that the log holds.
+Usage::UsageAudit auditUsage(const System &system)
+{
+    constexpr int maxRecords = 1000;
+    Usage::UsageAudit audit;
+    const auto page = Net::LogClient(system.logAddress()).readLast(Net::usageStream, maxRecords);
+    if (const auto *records = std::get_if<Net::LogPage>(&page)) {
+        for (const auto &it : records->records) {
+            audit.addRecord(it.offset, it.data);
+        }
+    }
+    return audit;
+}
+
+std::uint64_t loggedCalls(const System &system)
+{
+    std::uint64_t calls = 0;
+    const auto total = auditUsage(system).total();
+    for (const auto &[key, counters] : total) {
+        calls += counters.calls;
+    }
+    return calls;
+}
+
 }
 
 TEST_CASE("A note that gets the offset of one that the log lost in a restore is in force on every daemon")
@@ -48,3 +73,17 @@
     system.startDaemon();
     CHECK(eventually([&] { return hasAccepted(system, 2, "lost") && hasAccepted(system, 2, "after"); }));
 }
+
+TEST_CASE("Usage that the log lost in a restore is written to it again and counted once")
+{
+    System system(2, 1, Millis{200});
+    system.deploy();
+    system.setLogFault("copy=1");
+    REQUIRE(system.call(0, "GET", "s/read").head.status == 200);
+    REQUIRE(eventually([&] { return loggedCalls(system) == 1; }));
+    system.setLogFault("restore=1");
+    CHECK(eventually([&] { return loggedCalls(system) == 1; }));
+    REQUIRE(system.call(0, "GET", "s/read").head.status == 200);
+    CHECK(eventually([&] { return loggedCalls(system) == 2; }));
+    CHECK(eventually([&] { return auditUsage(system).faults().empty(); }));
+}
--- a/tests/usage/usage.cpp
+++ b/tests/usage/usage.cpp
@@ -1,6 +1,7 @@
 #include "core/usage/usagechain.h"
 #include "core/usage/usageledger.h"
 
+#include <algorithm>
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
@@ -134,3 +135,31 @@
         RC_ASSERT(audit.faults().size() == 1);
     });
 }
+
+TEST_CASE("Records that are appended again after a restore lost them are neither a fault nor counted twice")
+{
+    UsageChain chain(hostA);
+    UsageAudit audit;
+    const auto first = chain.encodeNext(entries(5), 1_s);
+    const auto second = chain.encodeNext(entries(6), 2_s);
+    const auto third = chain.encodeNext(entries(8), 3_s);
+    audit.addRecord(0, first);
+    audit.addRecord(1, third);
+    audit.addRecord(2, first);
+    audit.addRecord(3, second);
+    audit.addRecord(4, third);
+    CHECK(audit.faults().empty());
+    CHECK(audit.repeats() == 2);
+    CHECK(audit.total()[key].calls == 8);
+}
+
+TEST_CASE("A second record with the sequence number of an earlier one is reported as a break")
+{
+    UsageChain chain(hostA);
+    UsageChain forged(hostA);
+    UsageAudit audit;
+    audit.addRecord(0, chain.encodeNext(entries(5), 1_s));
+    audit.addRecord(1, forged.encodeNext(entries(4), 1_s));
+    const auto faults = audit.faults();
+    CHECK(std::any_of(faults.begin(), faults.end(), [](const ChainFault &it) { return it.kind == ChainFaultKind::Break; }));
+}
