Give up a fetch of the configuration only when it stalls

A large configuration did not come into force on a daemon behind a slow link: a fetch was given up after 3 s in all, whatever had arrived, and began anew at the next tick; the sender closed after 5 s. At 10 Mbit/s that is 3.75 MB for a single fetch, and far less for each of many at once.

askPeer() takes a limit for the time without progress besides the one for the whole exchange. A fetch of the configuration may stall for 3 s and take 60 s; the peer port has 5 s and 60 s. Other requests keep one limit.

--- a/src/daemon/control.cpp
+++ b/src/daemon/control.cpp
@@ -24,7 +24,8 @@
 // Members that receive the idempotency keys when this one stops.
 constexpr std::size_t keySuccessorCount = 2;
 constexpr Millis peerRequestTimeout = 1_s;
-constexpr Millis configFetchTimeout = 3_s;
+// A configuration may take long to transfer over a slow link; only a transfer that stalls is given up early.
+constexpr Net::ExchangeLimits configFetchLimits{.stall = 3_s, .total = 60_s};
 constexpr Millis finalFlushTimeout = 2_s;
 // Pause after a peer's snapshot could not be used.
 constexpr Millis configFetchBackoff = 500_ms;
@@ -363,7 +364,7 @@
     m_configFetchRunning = true;
     ++m_counters.configFetches;
     m_workers.post([this, address = member.info.peer, knownOffset = m_config.position().offset] {
-        auto reply = Net::askPeer(address, Net::FetchConfig{.knownOffset = knownOffset}, m_peerKey, configFetchTimeout);
+        auto reply = Net::askPeer(address, Net::FetchConfig{.knownOffset = knownOffset}, m_peerKey, configFetchLimits);
         boost::asio::post(m_context, [this, reply = std::move(reply)] {
             m_configFetchRunning = false;
             const auto *answer = std::get_if<Net::PeerReply>(&reply);
--- a/src/net/peerclient.cpp
+++ b/src/net/peerclient.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <chrono>
 
@@ -27,30 +28,56 @@
         , m_request(request)
         , m_key(key)
         , m_socket(m_context)
+        , m_stallTimer(m_context)
     {
     }
 
-    Result<PeerReply, PeerError> run(Millis timeout)
+    Result<PeerReply, PeerError> run(const ExchangeLimits &limits)
     {
+        m_stallLimit = std::chrono::duration_cast<std::chrono::microseconds>(Process::toChrono(limits.stall));
         boost::system::error_code ec;
         const auto ip = Asio::ip::make_address(m_address.ip, ec);
         if (ec) {
             return PeerError::CannotConnect;
         }
         m_socket.async_connect({ip, m_address.port}, [this](const auto &failure) { onConnected(failure); });
-        m_context.run_for(std::chrono::duration_cast<std::chrono::microseconds>(Process::toChrono(timeout)));
+        restartStallTimer();
+        m_context.run_for(std::chrono::duration_cast<std::chrono::microseconds>(Process::toChrono(limits.total)));
         return m_result;
     }
 
 private:
+    void restartStallTimer()
+    {
+        m_stallTimer.expires_after(m_stallLimit);
+        m_stallTimer.async_wait([this](const auto &ec) {
+            if (!ec) {
+                m_context.stop();
+            }
+        });
+    }
+
+    // Completion condition of reads and writes: restarts the stall timer whenever bytes were transferred.
+    auto untilComplete()
+    {
+        return [this](const boost::system::error_code &ec, std::size_t n) {
+            if (n > 0) {
+                restartStallTimer();
+            }
+            return Asio::transfer_all()(ec, n);
+        };
+    }
+
     void onConnected(const boost::system::error_code &ec)
     {
         if (ec) {
             m_result = PeerError::CannotConnect;
+            m_stallTimer.cancel();
             return;
         }
         m_nonce.resize(nonceBytes);
-        Asio::async_read(m_socket, Asio::buffer(m_nonce), [this](const auto &failure, std::size_t) { onNonceRead(failure); });
+        Asio::async_read(
+            m_socket, Asio::buffer(m_nonce), untilComplete(), [this](const auto &failure, std::size_t) { onNonceRead(failure); });
     }
 
     void onNonceRead(const boost::system::error_code &ec)
@@ -59,7 +86,8 @@
             return;
         }
         m_frame = encodeFrame(m_request, m_key, m_nonce);
-        Asio::async_write(m_socket, Asio::buffer(m_frame), [this](const auto &failure, std::size_t) { onRequestSent(failure); });
+        Asio::async_write(
+            m_socket, Asio::buffer(m_frame), untilComplete(), [this](const auto &failure, std::size_t) { onRequestSent(failure); });
     }
 
     void onRequestSent(const boost::system::error_code &ec)
@@ -67,7 +95,8 @@
         if (failed(ec)) {
             return;
         }
-        Asio::async_read(m_socket, Asio::buffer(m_header), [this](const auto &failure, std::size_t) { onHeaderRead(failure); });
+        Asio::async_read(
+            m_socket, Asio::buffer(m_header), untilComplete(), [this](const auto &failure, std::size_t) { onHeaderRead(failure); });
     }
 
     void onHeaderRead(const boost::system::error_code &ec)
@@ -78,16 +107,19 @@
         const auto length = frameLength({m_header.data(), m_header.size()});
         if (length > maxFrameBytes) {
             m_result = PeerError::TooLong;
+            m_stallTimer.cancel();
             return;
         }
         m_payload.resize(length);
-        Asio::async_read(m_socket, Asio::buffer(m_payload), [this](const auto &failure, std::size_t) { onPayloadRead(failure); });
+        Asio::async_read(
+            m_socket, Asio::buffer(m_payload), untilComplete(), [this](const auto &failure, std::size_t) { onPayloadRead(failure); });
     }
 
     void onPayloadRead(const boost::system::error_code &ec)
     {
         if (!failed(ec)) {
             m_result = decodeReply(m_payload, m_key, m_nonce);
+            m_stallTimer.cancel();
         }
     }
 
@@ -95,6 +127,7 @@
     {
         if (ec) {
             m_result = PeerError::TimedOut;
+            m_stallTimer.cancel();
         }
         return static_cast<bool>(ec);
     }
@@ -104,6 +137,8 @@
     std::string_view m_key;
     Asio::io_context m_context;
     Tcp::socket m_socket;
+    Asio::steady_timer m_stallTimer;
+    std::chrono::microseconds m_stallLimit{};
     std::string m_nonce;
     std::string m_frame;
     std::array<char, frameHeaderBytes> m_header{};
@@ -113,9 +148,15 @@
 
 }
 
+Result<PeerReply, PeerError>
+askPeer(const Membership::Address &address, const PeerRequest &request, std::string_view key, const ExchangeLimits &limits)
+{
+    return Exchange(address, request, key).run(limits);
+}
+
 Result<PeerReply, PeerError> askPeer(const Membership::Address &address, const PeerRequest &request, std::string_view key, Millis timeout)
 {
-    return Exchange(address, request, key).run(timeout);
+    return askPeer(address, request, key, ExchangeLimits{.stall = timeout, .total = timeout});
 }
 
 }
--- a/src/net/peerserver.cpp
+++ b/src/net/peerserver.cpp
@@ -1,5 +1,6 @@
 #include "net/peerserver.h"
 
+#include <algorithm>
 #include <boost/asio/read.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
@@ -18,8 +19,10 @@
 
 // Further TCP connections are closed immediately.
 constexpr int maxSessions = 128;
+// Longest time of a session without any byte sent or received.
+constexpr std::chrono::seconds stallTimeout(5);
 // Limit for a whole session.
-constexpr std::chrono::seconds sessionTimeout(5);
+constexpr std::chrono::seconds sessionTimeout(60);
 
 }
 
@@ -48,17 +51,34 @@
     {
         m_nonce.resize(nonceBytes);
         RAND_bytes(reinterpret_cast<unsigned char *>(m_nonce.data()), static_cast<int>(m_nonce.size()));
-        m_timer.expires_after(sessionTimeout);
+        m_endsAt = std::chrono::steady_clock::now() + sessionTimeout;
+        restartTimer();
+        Asio::async_write(
+            m_socket, Asio::buffer(m_nonce), [self = shared_from_this()](const auto &ec, std::size_t) { self->onNonceSent(ec); });
+    }
+
+private:
+    void restartTimer()
+    {
+        m_timer.expires_at(std::min(m_endsAt, std::chrono::steady_clock::now() + stallTimeout));
         m_timer.async_wait([self = shared_from_this()](const auto &ec) {
             if (!ec) {
                 self->m_socket.close();
             }
         });
-        Asio::async_write(
-            m_socket, Asio::buffer(m_nonce), [self = shared_from_this()](const auto &ec, std::size_t) { self->onNonceSent(ec); });
     }
 
-private:
+    // Completion condition of reads and writes: restarts the timer whenever bytes were transferred.
+    auto untilComplete()
+    {
+        return [this](const boost::system::error_code &ec, std::size_t n) {
+            if (!ec && n > 0) {
+                restartTimer();
+            }
+            return Asio::transfer_all()(ec, n);
+        };
+    }
+
     void onNonceSent(const boost::system::error_code &ec)
     {
         if (failed(ec)) {
@@ -96,12 +116,14 @@
         const auto sizeBefore = m_payload.size();
         m_payload.resize(sizeBefore + n);
         m_remaining -= n;
-        Asio::async_read(
-            m_socket, Asio::buffer(m_payload.data() + sizeBefore, n), [self = shared_from_this()](const auto &ec, std::size_t) {
-                if (!self->failed(ec)) {
-                    self->readPayload();
-                }
-            });
+        Asio::async_read(m_socket,
+                         Asio::buffer(m_payload.data() + sizeBefore, n),
+                         untilComplete(),
+                         [self = shared_from_this()](const auto &ec, std::size_t) {
+                             if (!self->failed(ec)) {
+                                 self->readPayload();
+                             }
+                         });
     }
 
     void handle()
@@ -115,8 +137,9 @@
         m_server.m_counters.bytesIn += m_payload.size();
         m_payload = encodeFrame(m_server.m_onRequest(std::get<PeerRequest>(request)), m_server.m_key, m_nonce);
         m_server.m_counters.bytesOut += m_payload.size();
-        Asio::async_write(
-            m_socket, Asio::buffer(m_payload), [self = shared_from_this()](const auto &, std::size_t) { self->m_timer.cancel(); });
+        Asio::async_write(m_socket, Asio::buffer(m_payload), untilComplete(), [self = shared_from_this()](const auto &, std::size_t) {
+            self->m_timer.cancel();
+        });
     }
 
     bool failed(const boost::system::error_code &ec)
@@ -130,6 +153,7 @@
     PeerServer &m_server;
     Tcp::socket m_socket;
     Asio::steady_timer m_timer;
+    std::chrono::steady_clock::time_point m_endsAt;
     std::shared_ptr<int> m_sessionCount;
     std::string m_nonce;
     std::array<char, frameHeaderBytes> m_header{};
