Spread fetches of the configuration and send few large ones at once

A large change could not spread in a large system: every daemon fetched it from the same member and repeated at once what failed.

Of several members with the highest offset the first by host name was asked, a sender answered up to 128 sessions at once, and a fetch that failed began anew after 50 ms.

A member now picks one of the most advanced members at random. A sender has at most four replies of more than 64 kB under way and answers a further fetch by Busy at once; those who have completed a fetch can serve it then. After a fetch without a result the next one begins 150 to 450 ms later. A daemon of an earlier version takes Busy for a malformed reply and tries again.

--- a/src/core/membership/configsource.h
+++ b/src/core/membership/configsource.h
@@ -9,8 +9,10 @@
 namespace Laburnummast::Membership
 {
 
-/// The running member with the highest configuration offset above `ownOffset`; null if there is none.
-const Member *findConfigSource(std::span<const Member> others, std::int64_t ownOffset);
+/// A running member with the highest configuration offset above `ownOffset`; null if there is none.
+///
+/// Of several, `choice` selects one: members that choose at random spread their requests over all that can answer them.
+const Member *findConfigSource(std::span<const Member> others, std::int64_t ownOffset, std::uint64_t choice);
 
 }
 
--- a/src/daemon/control.cpp
+++ b/src/daemon/control.cpp
@@ -27,8 +27,8 @@
 // A configuration may take long to transfer over a slow link; only a transfer that stalls is given up early.
 constexpr Net::ExchangeLimits configFetchLimits{.stall = 3_s, .total = 60_s};
 constexpr Millis finalFlushTimeout = 2_s;
-// Pause after a peer's snapshot could not be used.
-constexpr Millis configFetchBackoff = 500_ms;
+// Mean pause after a peer gave no usable configuration.
+constexpr Millis configFetchBackoff = 300_ms;
 constexpr Millis noteAppendTimeout = 1500_ms;
 // Time after which the next log reader enters a later era of the log if the one before it has not.
 constexpr Millis eraTakeoverInterval = 1500_ms;
@@ -79,6 +79,7 @@
     , m_timer(m_context)
     , m_peerServer(m_context, m_peerKey)
     , m_membership(membershipOptions(settings, identity.incarnation))
+    , m_random(identity.incarnation ^ std::hash<std::string>{}(identity.host))
     , m_log(settings.logAddress)
     , m_logOutbox(m_log)
     , m_logTail(m_log,
@@ -314,7 +315,7 @@
     if (self == readers.end() && serving.size() > 1) {
         return;
     }
-    const bool behind = Membership::findConfigSource(m_membership.others(), m_config.position().offset) != nullptr;
+    const bool behind = Membership::findConfigSource(m_membership.others(), m_config.position().offset, 0) != nullptr;
     const auto turns = static_cast<double>(std::distance(readers.begin(), self)) + (behind ? 1 : 0);
     if (waited < eraTakeoverInterval * turns) {
         return;
@@ -354,7 +355,7 @@
         return;
     }
     const auto others = m_membership.others();
-    if (const auto *source = Membership::findConfigSource(others, m_config.position().offset)) {
+    if (const auto *source = Membership::findConfigSource(others, m_config.position().offset, m_random())) {
         fetchConfigFrom(*source);
     }
 }
@@ -367,15 +368,19 @@
         auto reply = Net::askPeer(address, Net::FetchConfig{.knownOffset = knownOffset}, m_peerKey, configFetchLimits);
         boost::asio::post(m_context, [this, reply = std::move(reply)] {
             m_configFetchRunning = false;
+            std::uniform_real_distribution<double> spread(0.5, 1.5);
+            const auto backoff = configFetchBackoff * spread(m_random);
             const auto *answer = std::get_if<Net::PeerReply>(&reply);
             const auto *config = answer == nullptr ? nullptr : std::get_if<Net::ConfigReply>(answer);
             if (config != nullptr && !config->snapshot.empty()) {
                 if (!applySnapshot(config->snapshot)) {
-                    m_nextConfigFetch = steadyNow() + configFetchBackoff;
+                    m_nextConfigFetch = steadyNow() + backoff;
                     restoreLostNotes();
                 }
             } else if (config != nullptr) {
                 applyRecords(config->records);
+            } else {
+                m_nextConfigFetch = steadyNow() + backoff;
             }
         });
     });
--- a/src/daemon/control.h
+++ b/src/daemon/control.h
@@ -20,6 +20,7 @@
 #include <mutex>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <thread>
@@ -138,6 +139,7 @@
     Millis m_nextUsageLog;
     Millis m_nextHostListPoll;
     Millis m_nextConfigFetch;
+    std::mt19937_64 m_random;
 
     ConfigReplica m_config;
     mutable std::mutex m_selfMutex;
--- a/src/net/peermessage.h
+++ b/src/net/peermessage.h
@@ -146,7 +146,16 @@
     }
 };
 
-using PeerReply = std::variant<Acknowledged, ConfigReply, KeyReply>;
+/// Reply to FetchConfig while the receiver sends its configuration to as many members as it may at once.
+struct Busy
+{
+    template <class Archive>
+    void serialize(Archive & /*archive*/)
+    {
+    }
+};
+
+using PeerReply = std::variant<Acknowledged, ConfigReply, KeyReply, Busy>;
 
 /// Converts a verdict to its wire format.
 KeyReply toReply(const Idempotency::KeyVerdict &verdict);
--- a/src/net/peerserver.cpp
+++ b/src/net/peerserver.cpp
@@ -35,6 +35,7 @@
         , m_socket(std::move(socket))
         , m_timer(m_socket.get_executor())
         , m_sessionCount(server.m_sessionCount)
+        , m_largeReplyCount(server.m_largeReplyCount)
     {
         ++*m_sessionCount;
     }
@@ -42,6 +43,9 @@
     ~Session()
     {
         --*m_sessionCount;
+        if (m_sendsLargeReply) {
+            --*m_largeReplyCount;
+        }
     }
 
     Session(const Session &) = delete;
@@ -135,13 +139,25 @@
             return;
         }
         m_server.m_counters.bytesIn += m_payload.size();
-        m_payload = encodeFrame(m_server.m_onRequest(std::get<PeerRequest>(request)), m_server.m_key, m_nonce);
+        m_payload = encodeFrame(replyTo(std::get<PeerRequest>(request)), m_server.m_key, m_nonce);
+        if (m_payload.size() > largeReplyBytes) {
+            m_sendsLargeReply = true;
+            ++*m_largeReplyCount;
+        }
         m_server.m_counters.bytesOut += m_payload.size();
         Asio::async_write(m_socket, Asio::buffer(m_payload), untilComplete(), [self = shared_from_this()](const auto &, std::size_t) {
             self->m_timer.cancel();
         });
     }
 
+    PeerReply replyTo(const PeerRequest &request)
+    {
+        if (std::holds_alternative<FetchConfig>(request) && *m_largeReplyCount >= maxLargeReplies) {
+            return Busy{};
+        }
+        return m_server.m_onRequest(request);
+    }
+
     bool failed(const boost::system::error_code &ec)
     {
         if (ec) {
@@ -155,6 +171,8 @@
     Asio::steady_timer m_timer;
     std::chrono::steady_clock::time_point m_endsAt;
     std::shared_ptr<int> m_sessionCount;
+    std::shared_ptr<int> m_largeReplyCount;
+    bool m_sendsLargeReply = false;
     std::string m_nonce;
     std::array<char, frameHeaderBytes> m_header{};
     std::string m_payload;
--- a/src/net/peerserver.h
+++ b/src/net/peerserver.h
@@ -34,6 +34,12 @@
     std::atomic<std::uint64_t> bytesOut = 0;
 };
 
+/// Replies of this size share the bandwidth of the sender's link for long.
+constexpr std::size_t largeReplyBytes = 64 << 10;
+/// Number of large replies that are sent at once. While so many are, FetchConfig is answered by Busy: more of them would only make all
+/// of them slower, and members that have completed one can pass it on.
+constexpr int maxLargeReplies = 4;
+
 /// Peer port of a process: membership messages over UDP and requests over TCP. Runs on the control thread.
 class PeerServer
 {
@@ -71,6 +77,8 @@
     MessageHandler m_onMessage;
     RequestHandler m_onRequest;
     PeerServerCounters m_counters;
+    /// Replies of more than largeReplyBytes that are being sent; shared for the same reason as m_sessionCount.
+    std::shared_ptr<int> m_largeReplyCount = std::make_shared<int>(0);
     /// Shared with the sessions, because the last callback of a session may be destroyed after the server.
     std::shared_ptr<int> m_sessionCount = std::make_shared<int>(0);
 };
