Client connection: ignore a timeout that was queued before the timer was set again

What callers saw: nothing yet. Cause: the progress timeout sets the timer again with each read; a handler of the former setting that is queued already cannot be cancelled and would end the exchange though bytes had just arrived. Change: each setting has a number, and a handler of an earlier one does nothing. Found by reading; no test reaches this order of events. entry-tests pass.

--- a/src/http/clientconnection.cpp
+++ b/src/http/clientconnection.cpp
@@ -291,9 +291,11 @@
 {
     const auto left = std::max(0_ms, m_deadline - Process::steadyNow());
     const auto timeout = std::min(left, m_exchange.progressTimeout.value_or(left));
+    ++m_timerCount;
     m_timer.expires_after(std::chrono::microseconds(static_cast<std::int64_t>(timeout.count * 1000)));
-    m_timer.async_wait([self = shared_from_this(), exchange = m_exchangeCount](const auto &ec) {
-        if (ec || self->m_exchangeCount != exchange || self->m_state == State::Idle) {
+    m_timer.async_wait([self = shared_from_this(), timer = m_timerCount](const auto &ec) {
+        // A timer that expired before it was set again may still report here.
+        if (ec || self->m_timerCount != timer || self->m_state == State::Idle) {
             return;
         }
         self->fail(self->m_state == State::Connecting ? ClientError::CannotConnect : ClientError::TimedOut);
--- a/src/http/clientconnection.h
+++ b/src/http/clientconnection.h
@@ -134,6 +134,8 @@
     bool m_connected = false;
     bool m_readPending = false;
     bool m_requestWritten = false;
+    /// How often the timer was set.
+    std::uint64_t m_timerCount = 0;
     /// When the current exchange times out, on the steady clock.
     Millis m_deadline{};
     std::uint64_t m_exchangeCount = 0;
