--- a/src/platform/storeprotocol.cpp
+++ b/src/platform/storeprotocol.cpp
@@ -148,7 +148,7 @@
     }
     SnapshotPage page;
     page.end = json["end"].get<std::int64_t>();
-    page.hasMore = json.value("more", false);
+    page.hasMore = json.contains("more") && json["more"] == true;
     for (const auto &it : json["items"]) {
         if (it.is_object() && it.contains("key") && it["key"].is_string()) {
             page.lastKey = it["key"].get<std::string>();
--- a/tests/platform/storeprotocol.cpp
+++ b/tests/platform/storeprotocol.cpp
@@ -98,6 +98,13 @@
     CHECK(std::get<SnapshotPage>(decoded).lastKey == "b");
 }
 
+TEST_CASE("A snapshot page whose field of a further page is not a boolean has none")
+{
+    const auto decoded = decodeSnapshotPage({.status = 200, .headers = {}, .body = R"({"items":[],"more":"no","end":4})"});
+    REQUIRE(std::holds_alternative<SnapshotPage>(decoded));
+    CHECK_FALSE(std::get<SnapshotPage>(decoded).hasMore);
+}
+
 TEST_CASE("Decoding random bytes as a response of the store does not crash")
 {
     std::mt19937_64 random(1);
