Store reads end after a silence, not after a fixed time for the whole response

Change: the limits of 700 ms and of a held read apply to the time without a byte; 20 s apply to the whole response.

--- a/src/entry/topicfollower.cpp
+++ b/src/entry/topicfollower.cpp
@@ -12,8 +12,10 @@
 namespace
 {
 
-// Time that a slow store has for a response, in addition to the time for which it holds a long poll open.
+// Longest time without a byte of a response, in addition to the time for which the store holds a long poll open.
 constexpr Millis responseTimeout = 700_ms;
+// Longest time for a whole response: a page of 1 MB takes seconds on a slow link.
+constexpr Millis totalTimeout = 20_s;
 // Pause after new records. Records usually appear in groups, so the next request gets the rest of a group at once.
 constexpr Millis batchDelay = 30_ms;
 constexpr Millis initialBackoff = 100_ms;
@@ -79,7 +81,9 @@
     });
 }
 
-void TopicFollower::sendRequest(const Http::Request &request, Millis timeout, std::function<void(const Http::Response &)> onResponse)
+void TopicFollower::sendRequest(const Http::Request &request,
+                                Millis progressTimeout,
+                                std::function<void(const Http::Response &)> onResponse)
 {
     ++m_counters.requests;
     m_requestInFlight = true;
@@ -90,7 +94,8 @@
     requestWithHost.headers.push_back({"Host", m_options.store.address().to_string()});
     m_connection->start(
         {.bytes = Http::encode(requestWithHost),
-         .timeout = timeout,
+         .timeout = totalTimeout,
+         .progressTimeout = progressTimeout,
          .matchesRequest = nullptr,
          .onResult = [this, activation = m_activation, onResponse = std::move(onResponse)](const Http::ClientResult &result) {
              if (activation != m_activation) {
--- a/src/entry/topicfollower.h
+++ b/src/entry/topicfollower.h
@@ -92,7 +92,7 @@
 private:
     void startNextRequest();
     void startNextRequestAfter(Millis pause);
-    void sendRequest(const Http::Request &request, Millis timeout, std::function<void(const Http::Response &)> onResponse);
+    void sendRequest(const Http::Request &request, Millis progressTimeout, std::function<void(const Http::Response &)> onResponse);
     void requestSnapshotPage();
     void requestRecords();
     /// Notes the era of a response; a later one than that of the feed makes a new snapshot necessary.
