Leave the positions of daemons that state no era out of the comparison

What callers would see while old and new daemons run side by side: changes late by the rank of the first new daemon, at worst 404. Cause: a report without an era was read as era 0, while the store states era 1 from its start: an old daemon was never ahead and never at the same position, yet its reading kept new daemons from reading themselves. Change: a report says whether it states eras; without them its positions and its reading count for nothing once an era is known. Found in review; no run with mixed daemons was made. Test: decoding of older reports (statesEras).

--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -259,6 +259,10 @@
     for (const auto topic : {Topic::Routes, Topic::Upstreams}) {
         const auto &peerPosition = report.feeds[static_cast<std::size_t>(topic)];
         auto &followed = followedTopic(topic);
+        if (!report.statesEras && followed.feed.position().era > 0) {
+            // The offsets of an older daemon cannot be compared, so it cannot stand in for this daemon's own reading either.
+            continue;
+        }
         const bool peerIsAhead
             = peerPosition.hasSnapshot && (peerPosition.position() > followed.feed.position() || !followed.feed.hasSnapshot());
         if (peerIsAhead && topic == Topic::Routes && peerPosition.position() > m_reportedRoutesPosition) {
--- a/src/entry/peerreport.cpp
+++ b/src/entry/peerreport.cpp
@@ -67,7 +67,8 @@
         if (!archive.atEnd()) {
             archive(report.observations.contention);
         }
-        if (!archive.atEnd()) {
+        report.statesEras = !archive.atEnd();
+        if (report.statesEras) {
             std::array<std::int64_t, topicCount> eras{};
             archive(eras);
             for (std::size_t i = 0; i < topicCount; ++i) {
--- a/src/entry/peerreport.h
+++ b/src/entry/peerreport.h
@@ -100,6 +100,8 @@
     /// Indexed by `Topic`.
     std::array<FeedPosition, topicCount> feeds{};
     Observations observations;
+    /// Whether the eras of `feeds` are known; an older daemon does not state them.
+    bool statesEras = true;
     /// Version of the routes in force; 0 if there are none or an older daemon sent the report.
     std::uint64_t routesVersion = 0;
 };
--- a/tests/entry/peerreport.cpp
+++ b/tests/entry/peerreport.cpp
@@ -51,6 +51,7 @@
     CHECK(read->observations.outcomes.size() == 1);
     CHECK(read->observations.contention.empty());
     CHECK(read->feeds[0].era == 0);
+    CHECK_FALSE(read->statesEras);
 }
 
 TEST_CASE("Positions of two eras stay apart in reports and records, also beside daemons that do not know eras")
@@ -62,6 +63,7 @@
     REQUIRE(std::holds_alternative<PeerReport>(decoded));
     CHECK(std::get<PeerReport>(decoded).feeds[0].position() == Feed::LogPosition{.era = 0, .offset = 77});
     CHECK(std::get<PeerReport>(decoded).feeds[1].era == 3);
+    CHECK(std::get<PeerReport>(decoded).statesEras);
     CHECK(std::get<PeerReport>(decoded).routesVersion == 8);
 
     const Feed::FeedDelta delta{.end = 5, .isSnapshot = true, .records = {{.key = "a", .offset = 4, .value = "x"}}, .era = 2};
