Give routes in force to a daemon that starts after a copy without any routes

What callers saw: 503 from a daemon that started after the store had returned from a copy older than the first routes, and a full fetch from each peer at each of its reports. Cause: the routes in force replaced the record of the copy, but were left out if the copy has none. Found in review. Test: 'A daemon that starts after the store returned from a copy without any routes ...'.

--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -29,6 +29,8 @@
 constexpr Millis failureReportInterval = 100_ms;
 // The store counts as unreachable after this time without contact, which is longer than the change to another reader takes.
 constexpr Millis unreachableAfter = 3_s;
+// Between two requests for routes that only a peer has in force.
+constexpr Millis versionFetchInterval = 500_ms;
 
 Membership::Address recordsAddressOf(const PeerReport &report)
 {
@@ -276,7 +278,8 @@
             // Contact through a peer is as old as the peer's own. It counts only at the same position, because it does not cover
             // records that this daemon has not fetched yet.
             recordContact(topic, now - peerPosition.contactAge, false);
-            if (topic == Topic::Routes && report.routesVersion > (m_routes ? m_routes->version() : 0)) {
+            if (topic == Topic::Routes && report.routesVersion > (m_routes ? m_routes->version() : 0) && now >= m_nextVersionFetchAt) {
+                m_nextVersionFetchAt = now + versionFetchInterval;
                 m_peers.fetchRecords(topic, {}, recordsAddressOf(report));
             }
         }
@@ -295,12 +298,16 @@
 Feed::FeedDelta Control::recordsSince(Topic topic, const Feed::LogPosition &from) const
 {
     auto delta = followedTopic(topic).feed.deltaSince(from);
-    if (topic == Topic::Routes && m_routes) {
-        for (auto &it : delta.records) {
-            if (it.key == Platform::routesKey() && it.value) {
-                it.value = m_routesValue;
-            }
-        }
+    if (topic != Topic::Routes || !m_routes) {
+        return delta;
+    }
+    const auto it = std::find_if(
+        delta.records.begin(), delta.records.end(), [](const Feed::KeyedRecord &record) { return record.key == Platform::routesKey(); });
+    if (it != delta.records.end()) {
+        it->value = m_routesValue;
+    } else if (delta.isSnapshot) {
+        // The store's copy may be older than the first routes.
+        delta.records.push_back({.key = std::string(Platform::routesKey()), .offset = -1, .value = m_routesValue});
     }
     return delta;
 }
--- a/tests/entry/wholepath.cpp
+++ b/tests/entry/wholepath.cpp
@@ -488,6 +488,19 @@
     }
 }
 
+TEST_CASE("A daemon that starts after the store returned from a copy without any routes takes those that its peer has in force")
+{
+    System system(1);
+    const auto copy = system.store().copy();
+    system.publishAll();
+    system.startNode(0);
+    REQUIRE(system.ready(0));
+    system.store().restore(copy);
+    REQUIRE(system.runUntil([&] { return system.node(0).controlState().topics[0].era == 2; }));
+    system.startNode(1);
+    CHECK(system.runUntil([&] { return system.node(1).controlState().routesVersion == 1; }));
+}
+
 TEST_CASE("While the store does not answer, calls are served and a new daemon gets all records from its peer")
 {
     System system(2);
