Count routes as current only after contact with the store, and if no peer has later ones in force

What callers saw: a final 404 from a daemon that had started while the store was away, or whose store's copy was older than what a peer has in force. Cause: without any contact the store did not count as unreachable, and the version that peers report was not compared. Change: both are part of routesCurrent(). Found in review. Test: 'While the store does not answer ...' asks a daemon that starts during the outage for a route that it does not know; 503 expected.

--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -290,6 +290,10 @@
             followed.lastHigherRankedReportAt = now;
         }
     }
+    if (report.routesVersion > m_reportedRoutesVersion) {
+        m_reportedRoutesVersion = report.routesVersion;
+        scheduleViewUpdate();
+    }
     if (!report.observations.empty()) {
         m_events.onPeerObservations(report.observations);
     }
@@ -399,7 +403,9 @@
 bool Control::routesCurrent() const
 {
     const auto &followed = followedTopic(Topic::Routes);
-    return !followed.storeUnreachable && followed.feed.position() >= m_reportedRoutesPosition;
+    const bool storeReachable = followed.lastContactAt && !followed.storeUnreachable;
+    return storeReachable && followed.feed.position() >= m_reportedRoutesPosition && m_routes
+        && m_routes->version() >= m_reportedRoutesVersion;
 }
 
 void Control::scheduleViewUpdate()
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -154,6 +154,8 @@
     std::shared_ptr<const Routes::RouteTable> m_routes;
     /// Latest position of the routes that a peer reported.
     Feed::LogPosition m_reportedRoutesPosition;
+    /// Latest version of the routes that a peer reported to be in force.
+    std::uint64_t m_reportedRoutesVersion = 0;
     /// Earliest time of the next request for routes that only a peer has in force.
     Millis m_nextVersionFetchAt{};
     /// Record of the routes in force; after the store has returned from a copy, its own may be older.
--- a/tests/entry/wholepath.cpp
+++ b/tests/entry/wholepath.cpp
@@ -512,6 +512,11 @@
     system.startNode(1);
     CHECK(system.ready(1));
     CHECK(system.call(1, "/r/x").status == 200);
+    REQUIRE(system.runUntil([&] { return system.node(0).controlState().storeUnreachable; }));
+    system.startNode(2);
+    CHECK(system.ready(2));
+    CHECK(system.call(2, "/r/x").status == 200);
+    CHECK(system.call(2, "/added/x").status == 503);
 }
 
 TEST_CASE("The entry list contains the ready daemons, and a daemon that drains leaves it and finishes its calls")
