Test of large routes: one reader, and some uploads deferred

Cause: the daemons did not know each other yet when the routes changed, so each read the store and no upload was deferred: the test would have passed without the queue (found in review). Change: it waits for one reader and four members, on links slow enough that uploads are deferred, and checks that some were.

--- a/tests/entry/wholepath.cpp
+++ b/tests/entry/wholepath.cpp
@@ -308,16 +308,30 @@
     system.publishAll();
     constexpr int daemons = 4;
     for (int n = 0; n < daemons; ++n) {
-        system.startNode(n, 0.5);
+        system.startNode(n, 0.05);
         REQUIRE(system.ready(n));
     }
+    REQUIRE(system.runUntil([&] {
+        int readers = 0;
+        bool allKnown = true;
+        for (std::size_t n = 0; n < daemons; ++n) {
+            const auto state = system.node(n).controlState();
+            allKnown = allKnown && state.servingMemberCount == daemons;
+            readers += state.topics[0].isReading ? 1 : 0;
+        }
+        return allKnown && readers == 1;
+    }));
     system.store().put(routesTopic, "config", largeRoutesJson(2, 1200));
     std::uint64_t bytesIn = 0;
+    std::uint64_t deferredUploads = 0;
     for (int n = 0; n < daemons; ++n) {
         CHECK(system.runUntil([&] { return system.node(static_cast<std::size_t>(n)).controlState().routesVersion == 2; }));
         CHECK(system.call(n, "/extra1199/x").status == 200);
-        bytesIn += system.node(static_cast<std::size_t>(n)).controlState().peers.recordBytesIn;
+        const auto peers = system.node(static_cast<std::size_t>(n)).controlState().peers;
+        bytesIn += peers.recordBytesIn;
+        deferredUploads += peers.deferredUploads;
     }
+    CHECK(deferredUploads > 0);
     // They are compressed between daemons.
     CHECK(bytesIn < largeRoutesJson(2, 1200).size());
 }
