--- a/src/core/fleet/upstreamtable.cpp
+++ b/src/core/fleet/upstreamtable.cpp
@@ -9,7 +9,7 @@
 
 // The platform's contract guarantees that live upstreams have registered again by then.
 constexpr Millis reregistrationTime = 2_s;
-// Longer than the store's copies are old.
+// How long a departure is remembered, to recognize it in an older copy of the store.
 constexpr Millis departureMemory = 60_s;
 
 }
