Log tail: pause when the log ends before the position in the same era

What callers saw: nothing yet; found in review. Cause: since a response with status 410 counts as a page (it states the era), one in the same era has no records and `first <= from`, so the read counted as a success and was repeated at once. Reached when the log returns from a copy without stating a later era. Change: `next < from` is a failed read, with the pause of one, as it was before eras; the first one is logged as `ahead-of-log`. The stand-in can restore its copy in the same era (`keep_era=1`).

--- a/src/daemon/logtail.cpp
+++ b/src/daemon/logtail.cpp
@@ -4,6 +4,8 @@
 #include "process/log.h"
 #include "process/wallclock.h"
 
+#include <utility>
+
 namespace Laburnummast::Daemon
 {
 namespace
@@ -91,6 +93,14 @@
         return changeEra(records, from);
     }
     m_laterEraSeenAt.reset();
+    const bool aheadOfLog = records.next < from;
+    if (std::exchange(m_aheadOfLog, aheadOfLog) != aheadOfLog && aheadOfLog) {
+        Process::logWarning("ahead-of-log", {{"position", Text::concat(from - 1)}, {"next", Text::concat(records.next)}});
+    }
+    if (aheadOfLog) {
+        // The log answers at once, however long the read would wait for new records.
+        return false;
+    }
     if (records.first > from) {
         // The log has discarded records that were not applied here; only a snapshot that covers them closes the gap.
         const bool caughtUp = loadSnapshot() && m_handlers.position() + 1 >= records.first;
--- a/src/daemon/logtail.h
+++ b/src/daemon/logtail.h
@@ -62,7 +62,8 @@
     {
         return m_reads;
     }
-    /// Number of times that reading notes or snapshots failed, or that a gap remained after reading the snapshots.
+    /// Number of times that reading notes or snapshots failed, that a gap remained after reading the snapshots, or that the log ended
+    /// before the position.
     std::uint64_t failures() const
     {
         return m_failures;
@@ -75,7 +76,7 @@
 
 private:
     void run();
-    /// Reads and applies the next records; returns false if the log cannot be read or a gap remains.
+    /// Reads and applies the next records; returns false if the log cannot be read, a gap remains or the log ends before the position.
     bool readOnce();
     /// Handles a read that found the log in another era than the position; returns false if that is an earlier one.
     bool changeEra(const Net::LogPage &page, Config::Offset from);
@@ -96,6 +97,8 @@
     std::atomic<std::uint64_t> m_failures = 0;
     /// Whether the latest snapshots have been read at least once.
     bool m_snapshotsRead = false;
+    /// Whether the log ended before the position at the last read, in the same era.
+    bool m_aheadOfLog = false;
     /// Time of the first read that found the log in a later era than the position.
     std::optional<Millis> m_laterEraSeenAt;
     std::thread m_thread;
--- a/src/standin/logservice.cpp
+++ b/src/standin/logservice.cpp
@@ -52,7 +52,8 @@
     }
 }
 
-// A fault that the request does not name is switched off. "copy=1" copies the streams, "restore=1" replaces them by that copy.
+// A fault that the request does not name is switched off. "copy=1" copies the streams, "restore=1" replaces them by that copy,
+// in the same era with "keep_era=1".
 void LogService::setFaults(Net::ServerRequest &request)
 {
     m_outage = integerParameter(request, "outage", 0) != 0;
@@ -65,7 +66,7 @@
         }
         if (integerParameter(request, "restore", 0) != 0) {
             m_streams = m_copiedStreams;
-            ++m_era;
+            m_era += integerParameter(request, "keep_era", 0) != 0 ? 0 : 1;
         }
     }
     m_streamsChanged.notify_all();
--- a/src/standin/logservice.h
+++ b/src/standin/logservice.h
@@ -17,7 +17,8 @@
 /// In-memory stand-in for the platform's log service: streams of records with offsets and long polling.
 ///
 /// On /v1/streams/NAME/records, POST appends a record and GET reads records; any request to /fault sets the faults.
-/// Every response states the era in the header `Store-Era`; it rises by one when the streams are restored from an older copy.
+/// Every response states the era in the header `Store-Era`; it rises by one when the streams are restored from an older copy,
+/// unless the fault asks to keep it.
 class LogService
 {
 public:
--- a/tests/daemon/restore.cpp
+++ b/tests/daemon/restore.cpp
@@ -87,3 +87,22 @@
     CHECK(eventually([&] { return loggedCalls(system) == 2; }));
     CHECK(eventually([&] { return auditUsage(system).faults().empty(); }));
 }
+
+TEST_CASE("A log that is restored without a later era is not read in a loop without pauses")
+{
+    System system(1, 0);
+    REQUIRE(system.publish(0, noteText("base", addOwner("q"))).head.status == 200);
+    system.setLogFault("copy=1");
+    REQUIRE(system.publish(0, noteText("lost", addOwner("r"))).head.status == 200);
+    REQUIRE(eventually([&] { return system.daemonsAgreeAt(1); }));
+    system.setLogFault("restore=1&keep_era=1");
+    const auto reads = [&] { return system.state(0)["log"]["reads"].get<std::uint64_t>(); };
+    const auto started = Process::steadyNow();
+    const auto before = reads();
+    std::this_thread::sleep_for(std::chrono::seconds(2));
+    const auto count = reads() - before;
+    // One read per pause of 300 ms, and those that are under way at either end.
+    CHECK(static_cast<double>(count) <= (Process::steadyNow() - started).count / 300 + 2);
+    // Without a read the check above would show nothing.
+    CHECK(eventually([&] { return reads() >= before + 3; }));
+}
