Peer exchanges: ignore a timeout that was queued before the timer was set again

What callers saw: nothing yet; found in review. Cause: the client and the server of the peer port set their timer again when bytes arrive; a handler of the former setting that is queued already cannot be cancelled, and ended the exchange. It takes a thread that was blocked for longer than the timeout: it finds the bytes and the expired timer at once, the bytes first. Change: each setting has a number, and a handler of an earlier one does nothing. Test: 'A session whose bytes arrived while the server was blocked is not closed by a timeout that expired meanwhile' (server) failed before with an end of file at 6 s of blocking and a timeout of 5 s; it passes now, as do the other 3 cases of net/peerexchange.cpp. The client has the same change but no test reaches this order of events there.

--- a/src/net/peerclient.cpp
+++ b/src/net/peerclient.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <chrono>
+#include <cstdint>
 
 namespace Laburnummast::Net
 {
@@ -49,9 +50,11 @@
 private:
     void restartStallTimer()
     {
+        ++m_timerCount;
         m_stallTimer.expires_after(m_stallLimit);
-        m_stallTimer.async_wait([this](const auto &ec) {
-            if (!ec) {
+        m_stallTimer.async_wait([this, timer = m_timerCount](const auto &ec) {
+            // A timer that expired before it was set again may still report here.
+            if (!ec && m_timerCount == timer) {
                 m_context.stop();
             }
         });
@@ -138,6 +141,8 @@
     Asio::io_context m_context;
     Tcp::socket m_socket;
     Asio::steady_timer m_stallTimer;
+    // How often the stall timer was set.
+    std::uint64_t m_timerCount = 0;
     std::chrono::microseconds m_stallLimit{};
     std::string m_nonce;
     std::string m_frame;
--- a/src/net/peerserver.cpp
+++ b/src/net/peerserver.cpp
@@ -64,9 +64,11 @@
 private:
     void restartTimer()
     {
+        ++m_timerCount;
         m_timer.expires_at(std::min(m_endsAt, std::chrono::steady_clock::now() + stallTimeout));
-        m_timer.async_wait([self = shared_from_this()](const auto &ec) {
-            if (!ec) {
+        m_timer.async_wait([self = shared_from_this(), timer = m_timerCount](const auto &ec) {
+            // A timer that expired before it was set again may still report here.
+            if (!ec && self->m_timerCount == timer) {
                 self->m_socket.close();
             }
         });
@@ -169,6 +171,8 @@
     PeerServer &m_server;
     Tcp::socket m_socket;
     Asio::steady_timer m_timer;
+    // How often the timer was set.
+    std::uint64_t m_timerCount = 0;
     std::chrono::steady_clock::time_point m_endsAt;
     std::shared_ptr<int> m_sessionCount;
     std::shared_ptr<int> m_largeReplyCount;
--- a/tests/net/peerexchange.cpp
+++ b/tests/net/peerexchange.cpp
@@ -17,6 +17,11 @@
 
 const std::string key = "secret";
 
+// Position of a member whose request blocks the server's thread for `blockingTime`.
+constexpr Config::Offset blocking = 2;
+// Longer than a session of the server may stall.
+constexpr std::chrono::seconds blockingTime(6);
+
 // A peer port that answers FetchConfig with a snapshot of the given size.
 class ConfigServer
 {
@@ -29,8 +34,12 @@
         REQUIRE_FALSE(m_server.start(
             address,
             [](const auto &, const auto &) {},
-            [this, bytes](const Net::PeerRequest &) -> Net::PeerReply {
+            [this, bytes](const Net::PeerRequest &request) -> Net::PeerReply {
                 ++requests;
+                const auto *fetch = std::get_if<Net::FetchConfig>(&request);
+                if (fetch != nullptr && fetch->knownOffset == blocking) {
+                    std::this_thread::sleep_for(blockingTime);
+                }
                 return Net::ConfigReply{.snapshot = std::string(bytes, 'x'), .records = {}};
             }));
         m_thread = std::thread([this] { m_context.run(); });
@@ -179,3 +188,27 @@
     links.clear();
     CHECK(eventually([&] { return isConfig(Net::askPeer(server.address, Net::FetchConfig{}, key, 5_s)); }));
 }
+
+TEST_CASE("A session whose bytes arrived while the server was blocked is not closed by a timeout that expired meanwhile")
+{
+    const ConfigServer server(100);
+    Asio::io_context context;
+    Tcp::socket socket(context);
+    socket.connect({Asio::ip::make_address(server.address.ip), server.address.port});
+    std::string nonce(Net::nonceBytes, '\0');
+    Asio::read(socket, Asio::buffer(nonce));
+    const auto frame = Net::encodeFrame(Net::PeerRequest(Net::FetchConfig{}), key, nonce);
+    const auto part = Net::frameHeaderBytes + 1;
+    Asio::write(socket, Asio::buffer(frame.data(), part));
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    std::thread blocker([&] { (void)Net::askPeer(server.address, Net::FetchConfig{.knownOffset = blocking}, key, 30_s); });
+    CHECK(eventually([&] { return server.requests == 1; }));
+    Asio::write(socket, Asio::buffer(frame.data() + part, 1));
+    blocker.join();
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    boost::system::error_code ec;
+    Asio::write(socket, Asio::buffer(frame.data() + part + 1, frame.size() - part - 1), ec);
+    std::string header(Net::frameHeaderBytes, '\0');
+    Asio::read(socket, Asio::buffer(header), ec);
+    CHECK_FALSE(ec);
+}
