Peer port: answer a small FetchConfig while large replies are under way

What callers saw: nothing yet; found in review. Cause: while four large replies were sent, every FetchConfig was answered by Busy, also the one of a member that lacks a single small note, which then waited for its backoff. Test: 'A member that sends large configurations to four others refuses a fifth at once instead of slowing down all of them' now also fetches a small note during them; that check failed before and passes now, and the check that a fifth large one is refused is unchanged.

--- a/src/net/peermessage.h
+++ b/src/net/peermessage.h
@@ -146,7 +146,7 @@
     }
 };
 
-/// Reply to FetchConfig while the receiver sends its configuration to as many members as it may at once.
+/// Reply to a FetchConfig that needs a large reply while the receiver sends as many of them as it may at once.
 struct Busy
 {
     template <class Archive>
--- a/src/net/peerserver.cpp
+++ b/src/net/peerserver.cpp
@@ -141,7 +141,7 @@
             return;
         }
         m_server.m_counters.bytesIn += m_payload.size();
-        m_payload = encodeFrame(replyTo(std::get<PeerRequest>(request)), m_server.m_key, m_nonce);
+        encodeReplyTo(std::get<PeerRequest>(request));
         if (m_payload.size() > largeReplyBytes) {
             m_sendsLargeReply = true;
             ++*m_largeReplyCount;
@@ -152,12 +152,13 @@
         });
     }
 
-    PeerReply replyTo(const PeerRequest &request)
+    // Sets the payload to the reply, or to Busy if that is one more large configuration than may be sent at once.
+    void encodeReplyTo(const PeerRequest &request)
     {
-        if (std::holds_alternative<FetchConfig>(request) && *m_largeReplyCount >= maxLargeReplies) {
-            return Busy{};
+        m_payload = encodeFrame(m_server.m_onRequest(request), m_server.m_key, m_nonce);
+        if (std::holds_alternative<FetchConfig>(request) && m_payload.size() > largeReplyBytes && *m_largeReplyCount >= maxLargeReplies) {
+            m_payload = encodeFrame(Busy{}, m_server.m_key, m_nonce);
         }
-        return m_server.m_onRequest(request);
     }
 
     bool failed(const boost::system::error_code &ec)
--- a/src/net/peerserver.h
+++ b/src/net/peerserver.h
@@ -36,8 +36,8 @@
 
 /// Replies of this size share the bandwidth of the sender's link for long.
 constexpr std::size_t largeReplyBytes = 64 << 10;
-/// Number of large replies that are sent at once. While so many are, FetchConfig is answered by Busy: more of them would only make all
-/// of them slower, and members that have completed one can pass it on.
+/// Number of large replies that are sent at once. While so many are, a FetchConfig whose reply is large too is answered by Busy: more of
+/// them would only make all of them slower, and members that have completed one can pass it on.
 constexpr int maxLargeReplies = 4;
 
 /// Peer port of a process: membership messages over UDP and requests over TCP. Runs on the control thread.
--- a/tests/net/peerexchange.cpp
+++ b/tests/net/peerexchange.cpp
@@ -17,7 +17,8 @@
 
 const std::string key = "secret";
 
-// Position of a member whose request blocks the server's thread for `blockingTime`.
+// Position of a member that lacks only a small note, and of one whose request blocks the server's thread for `blockingTime`.
+constexpr Config::Offset nearlyCurrent = 1;
 constexpr Config::Offset blocking = 2;
 // Longer than a session of the server may stall.
 constexpr std::chrono::seconds blockingTime(6);
@@ -37,6 +38,9 @@
             [this, bytes](const Net::PeerRequest &request) -> Net::PeerReply {
                 ++requests;
                 const auto *fetch = std::get_if<Net::FetchConfig>(&request);
+                if (fetch != nullptr && fetch->knownOffset == nearlyCurrent) {
+                    return Net::ConfigReply{.snapshot = {}, .records = {{.offset = nearlyCurrent + 1, .data = "note"}}};
+                }
                 if (fetch != nullptr && fetch->knownOffset == blocking) {
                     std::this_thread::sleep_for(blockingTime);
                 }
@@ -182,6 +186,7 @@
     };
     CHECK(eventually([&] { return server.requests == Net::maxLargeReplies; }));
     CHECK(isBusy());
+    CHECK(isConfig(Net::askPeer(server.address, Net::FetchConfig{.knownOffset = nearlyCurrent}, key, 1_s)));
     for (auto &it : fetches) {
         it.join();
     }
