--- a/src/net/peerserver.cpp
+++ b/src/net/peerserver.cpp
@@ -64,9 +64,11 @@
 private:
     void restartTimer()
     {
+        ++m_timerCount;
         m_timer.expires_at(std::min(m_endsAt, std::chrono::steady_clock::now() + stallTimeout));
-        m_timer.async_wait([self = shared_from_this()](const auto &ec) {
-            if (!ec) {
+        m_timer.async_wait([self = shared_from_this(), timer = m_timerCount](const auto &ec) {
+            // A timer that expired before it was set again may still report here.
+            if (!ec && self->m_timerCount == timer) {
                 self->m_socket.close();
             }
         });
@@ -139,7 +141,7 @@
             return;
         }
         m_server.m_counters.bytesIn += m_payload.size();
-        m_payload = encodeFrame(replyTo(std::get<PeerRequest>(request)), m_server.m_key, m_nonce);
+        encodeReplyTo(std::get<PeerRequest>(request));
         if (m_payload.size() > largeReplyBytes) {
             m_sendsLargeReply = true;
             ++*m_largeReplyCount;
@@ -150,12 +152,13 @@
         });
     }
 
-    PeerReply replyTo(const PeerRequest &request)
+    // Sets the payload to the reply, or to Busy if that is one more large configuration than may be sent at once.
+    void encodeReplyTo(const PeerRequest &request)
     {
-        if (std::holds_alternative<FetchConfig>(request) && *m_largeReplyCount >= maxLargeReplies) {
-            return Busy{};
+        m_payload = encodeFrame(m_server.m_onRequest(request), m_server.m_key, m_nonce);
+        if (std::holds_alternative<FetchConfig>(request) && m_payload.size() > largeReplyBytes && *m_largeReplyCount >= maxLargeReplies) {
+            m_payload = encodeFrame(Busy{}, m_server.m_key, m_nonce);
         }
-        return m_server.m_onRequest(request);
     }
 
     bool failed(const boost::system::error_code &ec)
@@ -169,6 +172,8 @@
     PeerServer &m_server;
     Tcp::socket m_socket;
     Asio::steady_timer m_timer;
+    // How often the timer was set.
+    std::uint64_t m_timerCount = 0;
     std::chrono::steady_clock::time_point m_endsAt;
     std::shared_ptr<int> m_sessionCount;
     std::shared_ptr<int> m_largeReplyCount;
