--- a/tests/platform/requests.cpp
+++ b/tests/platform/requests.cpp
@@ -81,7 +81,8 @@
         {"/http://z/", {"h.example", "/http://z/"}},
         {"*", {"h.example", "*"}},
     };
-    for (const auto &[target, expected] : hostAndTarget) {
+    for (const auto &[received, expected] : hostAndTarget) {
+        const auto &target = received;
         CAPTURE(target);
         auto request = callerRequest();
         request.target = target;
