--- a/src/core/fleet/upstreamtable.h
+++ b/src/core/fleet/upstreamtable.h
@@ -77,7 +77,9 @@
     std::map<std::string, Millis, std::less<>> m_deferredRemovals;
     /// Last removal by upstream id.
     std::map<std::string, Departure, std::less<>> m_departures;
+    /// Latest record by upstream id that is older than what is known of the upstream.
     std::map<std::string, UpstreamRecord, std::less<>> m_heldRecords;
+    /// End of the period in which such records are held back.
     Millis m_holdOlderRecordsUntil{};
     bool m_storeUnreachable = false;
     Millis m_deferRemovalsUntil{};
