Limits that upstreams name are read, logged and counted

The header is decoded in the adapter, the core keeps the latest observation of each upstream (an answer without a limit counts as of the time its request was sent), and upstream-limit, laburnummast_limited_upstreams and limit= in the state dump show it. No decision uses it yet.

--- /dev/null
+++ b/src/core/limits/upstreamlimit.h
@@ -0,0 +1,51 @@
+#ifndef LABURNUMMAST_CORE_LIMITS_UPSTREAMLIMIT_H
+#define LABURNUMMAST_CORE_LIMITS_UPSTREAMLIMIT_H
+
+#include "core/millis.h"
+
+#include <cstdint>
+#include <optional>
+
+namespace Laburnummast::Limits
+{
+
+/// What an answer of an upstream said about the rate of calls that it accepts.
+struct LimitObservation
+{
+    /// Calls per second from all daemons together; empty if the upstream accepts any rate.
+    std::optional<double> perSecond;
+    /// When this was known to hold: for a limit when the answer arrived, otherwise when its request was sent, because the upstream may
+    /// have named a limit since.
+    Millis at;
+};
+
+/// How an observation changed the limit in force.
+enum class LimitChange : std::uint8_t {
+    None,
+    /// There was none before, or another one.
+    Set,
+    Ended,
+};
+
+/// Limit that an upstream last named, as observed by this daemon and others.
+class UpstreamLimit
+{
+public:
+    /// Applies an observation unless a later one is known.
+    LimitChange observe(const LimitObservation &observation, Millis now);
+
+    /// Calls per second from all daemons together; empty if no limit is in force.
+    std::optional<double> perSecond(Millis now) const;
+    /// The latest observation that was applied; empty before the first limit.
+    const std::optional<LimitObservation> &latest() const
+    {
+        return m_latest;
+    }
+
+private:
+    std::optional<LimitObservation> m_latest;
+};
+
+}
+
+#endif
--- a/src/core/placement/servicedispatcher.cpp
+++ b/src/core/placement/servicedispatcher.cpp
@@ -81,6 +81,12 @@
     return upstream < m_upstreams.size() ? &m_upstreams[upstream].view : nullptr;
 }
 
+Limits::LimitChange ServiceDispatcher::observeLimit(std::string_view upstream, const Limits::LimitObservation &observation, Millis now)
+{
+    const auto id = m_upstreams.idOf(upstream);
+    return id ? m_upstreams[*id].limit.observe(observation, now) : Limits::LimitChange::None;
+}
+
 std::size_t ServiceDispatcher::waitingCalls() const
 {
     return static_cast<std::size_t>(std::count_if(m_calls.begin(), m_calls.end(), [](const auto &it) {
--- a/src/core/placement/servicedispatcher.h
+++ b/src/core/placement/servicedispatcher.h
@@ -90,6 +90,18 @@
     {
         m_upstreams.recordPeerOutcomes(outcomes, now);
     }
+    /// Applies what an answer of an upstream said about its limit, or what another daemon reported; ignored if the name is unknown.
+    Limits::LimitChange observeLimit(std::string_view upstream, const Limits::LimitObservation &observation, Millis now);
+    /// Limit in force at an upstream; empty if there is none.
+    std::optional<double> limitOf(UpstreamId upstream, Millis now) const
+    {
+        return m_upstreams[upstream].limit.perSecond(now);
+    }
+    /// Number of listed upstreams with a limit in force.
+    std::size_t limitedUpstreams(Millis now) const
+    {
+        return m_upstreams.limitedCount(now);
+    }
     /// Processes due timers: deadlines, hedges and searches.
     void tick(Millis now, Actions &actions);
     /// Time of the next due tick(); nothing if no call is open.
--- a/src/core/placement/upstreamset.cpp
+++ b/src/core/placement/upstreamset.cpp
@@ -2,6 +2,8 @@
 
 #include "core/placement/preferredupstreams.h"
 
+#include <algorithm>
+
 namespace Laburnummast::Placement
 {
 
@@ -15,8 +17,12 @@
         if (found == m_ids.end()) {
             add(spec);
         } else {
-            m_entries[found->second].view.update(spec);
-            m_entries[found->second].listed = true;
+            auto &entry = m_entries[found->second];
+            if (entry.view.spec().startedAt != spec.startedAt) {
+                entry.limit = {};
+            }
+            entry.view.update(spec);
+            entry.listed = true;
         }
     }
     m_listedCount = specs.size();
@@ -70,6 +76,12 @@
     return it == m_ids.end() ? std::nullopt : std::optional(it->second);
 }
 
+std::size_t UpstreamSet::limitedCount(Millis now) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_entries.begin(), m_entries.end(), [&](const UpstreamEntry &it) { return it.listed && it.limit.perSecond(now); }));
+}
+
 std::vector<OutcomeCount> UpstreamSet::takeOutcomes()
 {
     std::vector<OutcomeCount> outcomes;
--- a/src/core/placement/upstreamset.h
+++ b/src/core/placement/upstreamset.h
@@ -2,6 +2,7 @@
 #define LABURNUMMAST_CORE_PLACEMENT_UPSTREAMSET_H
 
 #include "core/dispatch/call.h"
+#include "core/limits/upstreamlimit.h"
 #include "core/placement/upstreamview.h"
 
 #include <cstdint>
@@ -29,6 +30,7 @@
 struct UpstreamEntry
 {
     UpstreamView view;
+    Limits::UpstreamLimit limit;
     /// In the current list of upstreams; one that is not may still have calls or probes in flight.
     bool listed = true;
     /// This daemon prefers it. Unless there are more daemons than upstreams, no other daemon does, so that nearly all calls running
@@ -71,6 +73,8 @@
     {
         return m_listedCount;
     }
+    /// Number of upstreams in the current list with a limit in force.
+    std::size_t limitedCount(Millis now) const;
     /// Returns nothing if the name is unknown.
     std::optional<UpstreamId> idOf(std::string_view name) const;
 
--- a/src/entry/admin.cpp
+++ b/src/entry/admin.cpp
@@ -70,6 +70,9 @@
     addCounter(
         families, "laburnummast_upstream_connections_reused_total", "Kept connections that were used again.", counters.connectionsReused);
     addCounter(families, "laburnummast_log_lines_left_out_total", "Lines on calls beyond their rate.", counters.suppressedLogLines);
+    addGauge(
+        families, "laburnummast_limited_upstreams", "Upstreams with a limit in force.", static_cast<double>(counters.limitedUpstreams));
+    addCounter(families, "laburnummast_limits_unreadable_total", "Answers whose limit could not be read.", counters.unreadableLimits);
     prometheus::ClientMetric histogram;
     histogram.histogram.sample_count = latencies.count;
     histogram.histogram.sample_sum = latencies.sum.count / 1000;
--- a/src/entry/call.h
+++ b/src/entry/call.h
@@ -41,6 +41,14 @@
 /// Name of the error in the log.
 std::string_view nameOf(CallError error);
 
+/// Why a response does not tell the limit of an upstream.
+enum class LimitError : std::uint8_t {
+    /// Another upstream sent it, or it has neither a limit nor the mark of an answer to a call, so that the absence says nothing.
+    NotStated,
+    /// The limit is not a number of calls per second.
+    NotARate,
+};
+
 /// Result of an attempt according to the answer of the upstream.
 enum class AnswerKind : std::uint8_t {
     /// Complete and successful.
--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -396,7 +396,7 @@
     connection->start({.bytes = Http::encode(Platform::probeRequest(service.healthPath, ip)),
                        .timeout = probeTimeout,
                        .matchesRequest = Platform::isResponseToProbe,
-                       .onResult = [this, id, connection, ended](const Http::ClientResult &result) {
+                       .onResult = [this, &service, id, now, connection, ended](const Http::ClientResult &result) {
                            const auto *response = std::get_if<Http::Response>(&result);
                            if (!response) {
                                m_connections.closeIdle(id);
@@ -404,6 +404,7 @@
                                return;
                            }
                            m_connections.release(id, connection);
+                           learnLimit(service, id, *response, now);
                            ended(Platform::decodeProbeResponse(*response, id));
                        }});
 }
@@ -432,11 +433,14 @@
         });
         return;
     }
-    const auto onResult
-        = [this, &service, call = action.call, number = action.attempt, id, connection = attempt.connection](Http::ClientResult result) {
-              m_connections.release(id, connection);
-              handleAttemptResult(service, call, number, id, std::move(result));
-          };
+    const auto onResult =
+        [this, &service, call = action.call, number = action.attempt, id, now, connection = attempt.connection](Http::ClientResult result) {
+            m_connections.release(id, connection);
+            if (const auto *response = std::get_if<Http::Response>(&result)) {
+                learnLimit(service, id, *response, now);
+            }
+            handleAttemptResult(service, call, number, id, std::move(result));
+        };
     const auto left = openCall.spec.deadline - now;
     attempt.connection->start(
         {.bytes = Http::encode(Platform::encodeAttempt(openCall.call, id, left)),
@@ -447,6 +451,36 @@
          .onResult = onResult});
 }
 
+void Traffic::learnLimit(Service &service, const std::string &upstream, const Http::Response &response, Millis sentAt)
+{
+    const auto limit = Platform::namedLimit(response, upstream);
+    if (const auto *error = std::get_if<LimitError>(&limit)) {
+        if (*error == LimitError::NotARate) {
+            ++m_unreadableLimits;
+            m_callLog.write("limit-unreadable", steadyNow(), {{"upstream", upstream}, {"status", Text::concat(response.status)}});
+        }
+        return;
+    }
+    const auto perSecond = std::get<std::optional<double>>(limit);
+    applyLimit(service, upstream, {.perSecond = perSecond, .at = perSecond ? steadyNow() : sentAt}, "answer");
+}
+
+void Traffic::applyLimit(Service &service, std::string_view upstream, const Limits::LimitObservation &observation, std::string_view source)
+{
+    const auto now = steadyNow();
+    const auto change = service.dispatcher.observeLimit(upstream, observation, now);
+    if (change == Limits::LimitChange::None) {
+        return;
+    }
+    m_callLog.write("upstream-limit",
+                    now,
+                    {{"upstream", std::string(upstream)},
+                     {"service", service.name},
+                     {"per-second", observation.perSecond ? Text::concat(*observation.perSecond) : "none"},
+                     {"source", std::string(source)},
+                     {"age-ms", millisText(now - observation.at)}});
+}
+
 void Traffic::handleAttemptResult(
     Service &service, Dispatch::CallId id, Dispatch::AttemptNumber number, const std::string &upstream, Http::ClientResult result)
 {
@@ -690,8 +724,10 @@
                              .rejected = m_front.counters().rejected,
                              .connectionsOpened = connections.opened,
                              .connectionsReused = connections.reused,
-                             .suppressedLogLines = m_callLog.suppressedCount()};
+                             .suppressedLogLines = m_callLog.suppressedCount(),
+                             .unreadableLimits = m_unreadableLimits};
     for (const auto &[name, it] : m_services) {
+        counters.limitedUpstreams += it->dispatcher.limitedUpstreams(steadyNow());
         const auto &placed = it->dispatcher.counters();
         counters.placement.calls += placed.calls;
         counters.placement.sent += placed.sent;
@@ -730,7 +766,11 @@
         }
         const auto &view = *service->second->dispatcher.view(*id);
         Text::append(text, "upstream ", it.record.id, " service=", it.record.service, " load=", describeLoad(view, now));
-        Text::append(text, " in-flight=", view.inFlight(), " failures=", view.failureRate(now), "\n");
+        Text::append(text, " in-flight=", view.inFlight(), " failures=", view.failureRate(now));
+        if (const auto limit = service->second->dispatcher.limitOf(*id, now)) {
+            Text::append(text, " limit=", *limit);
+        }
+        Text::append(text, "\n");
     }
     return text;
 }
--- a/src/entry/traffic.h
+++ b/src/entry/traffic.h
@@ -64,6 +64,10 @@
     std::uint64_t connectionsOpened = 0;
     std::uint64_t connectionsReused = 0;
     std::uint64_t suppressedLogLines = 0;
+    /// Answers whose limit could not be read.
+    std::uint64_t unreadableLimits = 0;
+    /// Upstreams with a limit in force; not a counter.
+    std::size_t limitedUpstreams = 0;
     Placement::PlacementCounters placement;
 };
 
@@ -178,6 +182,9 @@
     void refuse(const Dispatch::RefuseCall &action);
     void finish(const Dispatch::FinishCall &action);
     void cancelAttempt(const Dispatch::CancelAttempt &action);
+    /// Takes the limit that the answer to an attempt or probe names, or that it names none.
+    void learnLimit(Service &service, const std::string &upstream, const Http::Response &response, Millis sentAt);
+    void applyLimit(Service &service, std::string_view upstream, const Limits::LimitObservation &observation, std::string_view source);
     void handleAttemptResult(
         Service &service, Dispatch::CallId id, Dispatch::AttemptNumber number, const std::string &upstream, Http::ClientResult result);
     /// Answers the caller, cancels the attempts in flight and removes the call.
@@ -205,6 +212,7 @@
     CallLog m_callLog;
     mutable std::mt19937_64 m_random;
     std::array<std::uint64_t, callEndCount> m_endCounts{};
+    std::uint64_t m_unreadableLimits = 0;
 };
 
 }
--- a/src/platform/requests.cpp
+++ b/src/platform/requests.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <cstdio>
 
 namespace Laburnummast::Platform
@@ -27,6 +28,9 @@
 // last number is optional.
 constexpr std::string_view loadHeader = "Laburnummast-Server-Load";
 
+// Calls per second that the upstream accepts from all daemons together, as a decimal number, in each response while that holds.
+constexpr std::string_view limitHeader = "Server-Limit";
+
 constexpr int misdirectedRequest = 421;
 // Statuses from which a caller concludes that its call was not run.
 constexpr std::array<int, 4> notRunStatuses{408, 421, 429, 503};
@@ -166,6 +170,26 @@
     return answer;
 }
 
+Result<std::optional<double>, Entry::LimitError> namedLimit(const Http::Response &response, std::string_view upstream)
+{
+    const auto instance = Http::find(response.headers, instanceIdHeader);
+    if (response.status == misdirectedRequest || (instance && *instance != upstream)) {
+        return Entry::LimitError::NotStated;
+    }
+    const auto value = Http::find(response.headers, limitHeader);
+    if (!value && !Http::find(response.headers, signatureHeader)) {
+        return Entry::LimitError::NotStated;
+    }
+    if (!value) {
+        return std::optional<double>();
+    }
+    const auto number = Text::parseNumber(Text::trim(*value));
+    if (!number || !std::isfinite(*number) || *number < 0) {
+        return Entry::LimitError::NotARate;
+    }
+    return std::optional(*number);
+}
+
 Http::Request probeRequest(std::string_view healthPath, std::string_view host)
 {
     return {.method = "GET", .target = std::string(healthPath), .headers = {{"Host", std::string(host)}}, .body = {}};
--- a/src/platform/requests.h
+++ b/src/platform/requests.h
@@ -4,6 +4,7 @@
 #include "core/result.h"
 #include "entry/call.h"
 
+#include <optional>
 #include <string_view>
 
 namespace Laburnummast::Platform
@@ -21,6 +22,9 @@
 /// Classifies a response to an attempt, and takes its load report out of the headers that the caller gets.
 Entry::UpstreamAnswer decodeAnswer(Http::Response response);
 
+/// Calls per second that `upstream` accepts from all daemons together according to its response; empty if it accepts any rate.
+Result<std::optional<double>, Entry::LimitError> namedLimit(const Http::Response &response, std::string_view upstream);
+
 /// Request that probes the health and load of an upstream.
 Http::Request probeRequest(std::string_view healthPath, std::string_view host);
 /// Whether a response on an upstream's connection can be the one to a probe.
--- a/tests/platform/requests.cpp
+++ b/tests/platform/requests.cpp
@@ -163,3 +163,23 @@
     CHECK(Http::find(refusal.headers, "Retry-After") == "0.062");
     CHECK(Http::find(refusal.headers, "Laburnummast-Request-Id") == "9c41");
 }
+
+TEST_CASE("The limit of an upstream is read from its own answers only")
+{
+    const auto limitIn = [](Http::Headers headers, int status = 200) {
+        return namedLimit({.status = status, .headers = std::move(headers), .body = {}}, "u1");
+    };
+    using Limit = std::optional<double>;
+    CHECK(std::get<Limit>(limitIn({{"Server-Limit", " 5.8"}, {"Laburnummast-Response-Signature", "s"}})) == 5.8);
+    CHECK(std::get<Limit>(limitIn({{"server-limit", "2"}, {"Laburnummast-Not-Executed", "1"}}, 503)) == 2.0);
+    CHECK(std::get<Limit>(limitIn({{"Server-Limit", "0"}})) == 0.0);
+    CHECK_FALSE(std::get<Limit>(limitIn({{"Laburnummast-Response-Signature", "s"}})));
+    CHECK(std::get<Entry::LimitError>(limitIn({})) == Entry::LimitError::NotStated);
+    CHECK(std::get<Entry::LimitError>(limitIn({{"Server-Limit", "5"}}, 421)) == Entry::LimitError::NotStated);
+    CHECK(std::get<Entry::LimitError>(limitIn({{"Server-Limit", "5"}, {"Laburnummast-Instance-Id", "u2"}}))
+          == Entry::LimitError::NotStated);
+    for (const auto *value : {"", "fast", "-1", "nan", "inf", "5,6"}) {
+        CAPTURE(value);
+        CHECK(std::get<Entry::LimitError>(limitIn({{"Server-Limit", value}})) == Entry::LimitError::NotARate);
+    }
+}
