Keep calls of all daemons together within the limit that an upstream names

Cause: the limit was not read, and each daemon chose upstreams by load alone. Evidence: the rate of calls at the limited upstreams did not change when they named it; 22 of 29 calls within 4 s came from the one daemon that prefers the upstream.

Change: a limit is divided among a few daemons (rendezvous hash, the upstream's failure domain first), so that no share is below two calls a second; the others send nothing there. A daemon that gets a share waits for one interval first, a daemon keeps at most one unused call, suspected daemons keep their shares, and the share shrinks by the part of the daemons that cannot be reached, so the sum stays within the limit while daemons start, stop or are cut off. Reports pass limits and their end on to the other daemons. A call that the limits leave no room for in time is refused at once.

Why it works: what the daemons may send adds up to the limit without any message between them; messages only spread the limit.

--- a/src/core/limits/upstreamlimit.h
+++ b/src/core/limits/upstreamlimit.h
@@ -27,7 +27,7 @@
     Ended,
 };
 
-/// Limit that an upstream last named, as observed by this daemon and others.
+/// Limit that an upstream last named, as observed by this daemon and others, and this daemon's use of its share.
 class UpstreamLimit
 {
 public:
@@ -36,6 +36,24 @@
 
     /// Calls per second from all daemons together; empty if no limit is in force.
     std::optional<double> perSecond(Millis now) const;
+    /// Sets the calls per second that this daemon may send while a limit is in force; see limitShare().
+    void assignShare(double perSecond, Millis now);
+    /// Whether this daemon may send some calls, now or later.
+    bool hasShare(Millis now) const
+    {
+        return !perSecond(now) || m_share > 0;
+    }
+    /// Calls per second that this daemon may send while a limit is in force.
+    double share() const
+    {
+        return m_share;
+    }
+    /// When this daemon may send the next call; empty if only other daemons may.
+    std::optional<Millis> nextCallAt(Millis now) const;
+    /// Whether this daemon may send a call now.
+    bool allowsCall(Millis now) const;
+    /// Counts a call that this daemon sent.
+    void recordCall(Millis now);
     /// The latest observation that was applied; empty before the first limit.
     const std::optional<LimitObservation> &latest() const
     {
@@ -44,6 +62,9 @@
 
 private:
     std::optional<LimitObservation> m_latest;
+    /// Calls per second.
+    double m_share = 0;
+    Millis m_nextCallAt{};
 };
 
 }
--- a/src/core/placement/placementoptions.h
+++ b/src/core/placement/placementoptions.h
@@ -1,6 +1,7 @@
 #ifndef LABURNUMMAST_CORE_PLACEMENT_PLACEMENTOPTIONS_H
 #define LABURNUMMAST_CORE_PLACEMENT_PLACEMENTOPTIONS_H
 
+#include "core/limits/limitshare.h"
 #include "core/millis.h"
 #include "core/retry/sharedretrybudget.h"
 
@@ -21,6 +22,8 @@
     /// Failure domains of all serving daemons, in the same order on every daemon, and the index of this daemon in it.
     std::vector<std::string> daemonDomains;
     std::size_t daemonIndex = 0;
+    /// Daemons that divide the limits of upstreams among themselves.
+    Limits::LimitPool limitPool;
     /// Upstreams probed in the first round of a search.
     std::size_t firstRoundProbes = 4;
     /// Replaces `firstRoundProbes` while pressure is low or few probe tokens are left.
--- a/src/core/placement/servicedispatcher.cpp
+++ b/src/core/placement/servicedispatcher.cpp
@@ -53,6 +53,12 @@
 // An upstream gets at most as many calls as it has slots, plus this many queued ones: it resets connections once its queue is full.
 constexpr double maxQueuedPerUpstream = 2;
 
+// Order in which waiting calls get upstreams.
+bool goesBefore(const CallSpec &a, const CallSpec &b)
+{
+    return a.rank != b.rank ? a.rank < b.rank : a.objective < b.objective;
+}
+
 }
 
 ServiceDispatcher::ServiceDispatcher(const PlacementOptions &options, Retry::TokenBucket &probeTokens, std::uint64_t seed)
@@ -63,11 +69,12 @@
 {
 }
 
-void ServiceDispatcher::configure(const PlacementOptions &options)
+void ServiceDispatcher::configure(const PlacementOptions &options, Millis now)
 {
     m_options = options;
     m_budget.configure(options.retries);
     m_upstreams.assignPreferred(options.daemonDomains, options.daemonIndex);
+    m_upstreams.assignLimitPool(options.limitPool, now);
 }
 
 void ServiceDispatcher::setUpstreams(std::span<const UpstreamSpec> specs)
@@ -81,10 +88,11 @@
     return upstream < m_upstreams.size() ? &m_upstreams[upstream].view : nullptr;
 }
 
-Limits::LimitChange ServiceDispatcher::observeLimit(std::string_view upstream, const Limits::LimitObservation &observation, Millis now)
+Limits::LimitChange
+ServiceDispatcher::observeLimit(std::string_view upstream, const Limits::LimitObservation &observation, bool isOwn, Millis now)
 {
     const auto id = m_upstreams.idOf(upstream);
-    return id ? m_upstreams[*id].limit.observe(observation, now) : Limits::LimitChange::None;
+    return id ? m_upstreams.observeLimit(*id, observation, isOwn, now) : Limits::LimitChange::None;
 }
 
 std::size_t ServiceDispatcher::waitingCalls() const
@@ -127,7 +135,13 @@
 
 bool ServiceDispatcher::isEligible(const UpstreamEntry &entry, Millis now) const
 {
-    return entry.listed && !entry.view.inBackoff(now);
+    return entry.listed && !entry.view.inBackoff(now) && entry.limit.allowsCall(now);
+}
+
+bool ServiceDispatcher::isPreferred(const UpstreamEntry &entry, Millis now) const
+{
+    // Few daemons call an upstream with a limit, so that nearly all calls running there are theirs.
+    return entry.limit.perSecond(now) ? entry.limit.hasShare(now) : entry.preferred;
 }
 
 std::vector<UpstreamId> ServiceDispatcher::selectForProbing(const OpenCall &call, std::size_t count, Millis now)
@@ -141,7 +155,7 @@
         }
     }
     std::shuffle(order.begin(), order.end(), m_random);
-    std::stable_partition(order.begin(), order.end(), [&](UpstreamId id) { return m_upstreams[id].preferred; });
+    std::stable_partition(order.begin(), order.end(), [&](UpstreamId id) { return isPreferred(m_upstreams[id], now); });
     // Bulk calls probe their own failure domain first; other calls probe it for half of the count, since a suitable near upstream is
     // as good as a far one. Under pressure domains are not distinguished, or the daemons of one domain would overload its upstreams.
     const auto localWanted = call.spec.bulk ? order.size() : m_pressure <= lowPressure ? count / 2 : 0;
@@ -201,7 +215,7 @@
         const bool crossDomain = view.spec().domain != m_options.domain;
         const auto distanceCost = !crossDomain || m_pressure > lowPressure ? 0_ms : call.spec.bulk ? crossDomainBulkCost : crossDomainCost;
         const double failureRate = view.failureRate(now);
-        const double preferenceFactor = entry.preferred ? 1 : nonPreferredCostFactor;
+        const double preferenceFactor = isPreferred(entry, now) ? 1 : nonPreferredCostFactor;
         const double cost
             = preferenceFactor * expectedLatency.count * (1 + failureCostFactor * failureRate + costPerCall * view.estimatedCalls())
             + distanceCost.count;
@@ -292,7 +306,7 @@
     const bool suitable = choice && isSuitable(call, *choice, now);
     // Upstreams that do not report load show a free slot by answering the probe quickly, so the first preferred one that answers is
     // used without waiting for the rest of the round.
-    const bool sendEarly = suitable && !m_upstreamsReportLoad && m_upstreams[choice->upstream].preferred;
+    const bool sendEarly = suitable && !m_upstreamsReportLoad && isPreferred(m_upstreams[choice->upstream], now);
     if (!sendEarly && !probeRoundEnded(call, now)) {
         return false;
     }
@@ -321,7 +335,8 @@
         call.hedgeAt = call.spec.deadline;
         return false;
     }
-    if (now >= waitLimit(call)) {
+    const auto roomAt = limitsLeaveRoomAt(call, now);
+    if (now >= waitLimit(call) || !roomAt || *roomAt > waitLimit(call)) {
         const auto fallback = call.lackedProbeTokens && m_pressure <= highPressure ? fallbackChoice(call, now) : std::nullopt;
         if (!fallback) {
             return giveUp(call, now, actions);
@@ -329,7 +344,7 @@
         send(call, *fallback, now, actions);
         return false;
     }
-    const auto nextProbeAt = call.probeRoundDeadline + m_options.waitingProbeInterval;
+    const auto nextProbeAt = *roomAt > now ? *roomAt : call.probeRoundDeadline + m_options.waitingProbeInterval;
     if (now >= nextProbeAt) {
         probeForWaitingCalls(call, now, actions);
     } else {
@@ -338,6 +353,33 @@
     return false;
 }
 
+std::optional<Millis> ServiceDispatcher::limitsLeaveRoomAt(const OpenCall &call, Millis now) const
+{
+    std::optional<Millis> nextCallAt;
+    double sharesPerSecond = 0;
+    for (UpstreamId id = 0; id < m_upstreams.size(); ++id) {
+        const auto &entry = m_upstreams[id];
+        if (!entry.listed) {
+            continue;
+        }
+        if (!entry.limit.perSecond(now)) {
+            return now;
+        }
+        if (const auto at = entry.limit.nextCallAt(now)) {
+            nextCallAt = nextCallAt ? std::min(*nextCallAt, *at) : *at;
+            sharesPerSecond += entry.limit.share();
+        }
+    }
+    if (!nextCallAt) {
+        return std::nullopt;
+    }
+    const auto callsAhead = std::count_if(m_calls.begin(), m_calls.end(), [&](const auto &it) {
+        const auto &other = it.second;
+        return other.search == Search::First && other.probeRounds >= maxProbeRounds && goesBefore(other.spec, call.spec);
+    });
+    return *nextCallAt + 1_s * (static_cast<double>(callsAhead) / sharesPerSecond);
+}
+
 void ServiceDispatcher::probeForWaitingCalls(OpenCall &call, Millis now, Actions &actions)
 {
     // The results of one round serve all waiting calls, and answers to earlier calls update the load reports as well.
@@ -375,6 +417,7 @@
                           .condition = view.conditionForNextCall(now),
                           .reportedFreeSlot = m_upstreamsReportLoad && view.report() && view.hasFreeSlot()};
     view.recordAttemptSent();
+    m_upstreams[choice.upstream].limit.recordCall(now);
     call.activeAttempts.push_back(attempt);
     call.triedUpstreams.push_back(choice.upstream);
     ++call.attemptsRun;
@@ -460,9 +503,7 @@
             searching.push_back(&it);
         }
     }
-    std::stable_sort(searching.begin(), searching.end(), [](const OpenCall *a, const OpenCall *b) {
-        return a->spec.rank != b->spec.rank ? a->spec.rank < b->spec.rank : a->spec.objective < b->spec.objective;
-    });
+    std::stable_sort(searching.begin(), searching.end(), [](const OpenCall *a, const OpenCall *b) { return goesBefore(a->spec, b->spec); });
     for (auto *it : searching) {
         if (advanceSearch(*it, now, actions)) {
             m_calls.erase(it->spec.id);
--- a/src/core/placement/servicedispatcher.h
+++ b/src/core/placement/servicedispatcher.h
@@ -73,7 +73,7 @@
     ServiceDispatcher(const ServiceDispatcher &) = delete;
     ServiceDispatcher &operator=(const ServiceDispatcher &) = delete;
 
-    void configure(const PlacementOptions &options);
+    void configure(const PlacementOptions &options, Millis now);
     void setUpstreams(std::span<const UpstreamSpec> specs);
 
     /// Starts the search for an upstream; refuses the call at once if the service has none.
@@ -90,13 +90,25 @@
     {
         m_upstreams.recordPeerOutcomes(outcomes, now);
     }
-    /// Applies what an answer of an upstream said about its limit, or what another daemon reported; ignored if the name is unknown.
-    Limits::LimitChange observeLimit(std::string_view upstream, const Limits::LimitObservation &observation, Millis now);
+    /// Applies what an answer to this daemon said about an upstream's limit (`isOwn`) or what another daemon reported; ignored if the
+    /// name is unknown.
+    Limits::LimitChange observeLimit(std::string_view upstream, const Limits::LimitObservation &observation, bool isOwn, Millis now);
+    /// Returns the limits to report to other daemons; see UpstreamSet::takeNamedLimits().
+    std::vector<NamedLimit> takeNamedLimits()
+    {
+        return m_upstreams.takeNamedLimits();
+    }
     /// Limit in force at an upstream; empty if there is none.
     std::optional<double> limitOf(UpstreamId upstream, Millis now) const
     {
         return m_upstreams[upstream].limit.perSecond(now);
     }
+    /// Calls per second that this daemon may send to an upstream while it has a limit; 0 if the name is unknown.
+    double limitShareOf(std::string_view upstream) const
+    {
+        const auto id = m_upstreams.idOf(upstream);
+        return id ? m_upstreams[*id].limit.share() : 0;
+    }
     /// Number of listed upstreams with a limit in force.
     std::size_t limitedUpstreams(Millis now) const
     {
@@ -260,6 +272,9 @@
     Millis nextDueOf(const OpenCall &call) const;
     void advanceSearches(Millis now, Actions &actions);
     bool isEligible(const UpstreamEntry &entry, Millis now) const;
+    bool isPreferred(const UpstreamEntry &entry, Millis now) const;
+    /// When the limits of the upstreams leave room for the call after those that go before it; empty if never.
+    std::optional<Millis> limitsLeaveRoomAt(const OpenCall &call, Millis now) const;
 
     PlacementOptions m_options;
     std::mt19937_64 m_random;
--- a/src/core/placement/upstreamset.cpp
+++ b/src/core/placement/upstreamset.cpp
@@ -3,9 +3,17 @@
 #include "core/placement/preferredupstreams.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Laburnummast::Placement
 {
+namespace
+{
+
+// Reports that repeat a changed limit. Where reports go to some daemons only, each of these passes the change on as often.
+constexpr int limitChangeReports = 2;
+
+}
 
 void UpstreamSet::update(std::span<const UpstreamSpec> specs)
 {
@@ -20,6 +28,7 @@
             auto &entry = m_entries[found->second];
             if (entry.view.spec().startedAt != spec.startedAt) {
                 entry.limit = {};
+                entry.limitReportsDue = 0;
             }
             entry.view.update(spec);
             entry.listed = true;
@@ -76,6 +85,54 @@
     return it == m_ids.end() ? std::nullopt : std::optional(it->second);
 }
 
+void UpstreamSet::assignLimitPool(const Limits::LimitPool &pool, Millis now)
+{
+    if (m_limitPool == pool) {
+        return;
+    }
+    m_limitPool = pool;
+    for (auto &it : m_entries) {
+        assignLimitShare(it, now);
+    }
+}
+
+void UpstreamSet::assignLimitShare(UpstreamEntry &entry, Millis now) const
+{
+    if (const auto perSecond = entry.limit.perSecond(now)) {
+        const auto &spec = entry.view.spec();
+        entry.limit.assignShare(Limits::limitShare({.id = spec.id, .domain = spec.domain, .perSecond = *perSecond}, m_limitPool), now);
+    } else {
+        entry.limit.assignShare(0, now);
+    }
+}
+
+Limits::LimitChange UpstreamSet::observeLimit(UpstreamId id, const Limits::LimitObservation &observation, bool isOwn, Millis now)
+{
+    auto &entry = m_entries[id];
+    const auto change = entry.limit.observe(observation, now);
+    if (change != Limits::LimitChange::None) {
+        assignLimitShare(entry, now);
+        entry.limitReportsDue = limitChangeReports;
+        entry.limitChanged = true;
+    } else if (isOwn && observation.perSecond) {
+        entry.limitReportsDue = std::max(entry.limitReportsDue, 1);
+    }
+    return change;
+}
+
+std::vector<NamedLimit> UpstreamSet::takeNamedLimits()
+{
+    std::vector<NamedLimit> limits;
+    for (auto &it : m_entries) {
+        if (it.limitReportsDue > 0 && it.limit.latest()) {
+            --it.limitReportsDue;
+            limits.push_back(
+                {.upstream = it.view.spec().id, .observation = *it.limit.latest(), .isChange = std::exchange(it.limitChanged, false)});
+        }
+    }
+    return limits;
+}
+
 std::size_t UpstreamSet::limitedCount(Millis now) const
 {
     return static_cast<std::size_t>(
--- a/src/core/placement/upstreamset.h
+++ b/src/core/placement/upstreamset.h
@@ -2,6 +2,7 @@
 #define LABURNUMMAST_CORE_PLACEMENT_UPSTREAMSET_H
 
 #include "core/dispatch/call.h"
+#include "core/limits/limitshare.h"
 #include "core/limits/upstreamlimit.h"
 #include "core/placement/upstreamview.h"
 
@@ -26,11 +27,23 @@
     std::uint32_t failures = 0;
 };
 
+/// Limit of an upstream, to be reported to other daemons.
+struct NamedLimit
+{
+    std::string upstream;
+    Limits::LimitObservation observation;
+    /// The limit in force has changed; otherwise it was only confirmed.
+    bool isChange = false;
+};
+
 /// State that a dispatcher keeps for one upstream of its service.
 struct UpstreamEntry
 {
     UpstreamView view;
     Limits::UpstreamLimit limit;
+    /// Reports to other daemons that the limit is still to be part of, and whether it has changed since the last one.
+    int limitReportsDue = 0;
+    bool limitChanged = false;
     /// In the current list of upstreams; one that is not may still have calls or probes in flight.
     bool listed = true;
     /// This daemon prefers it. Unless there are more daemons than upstreams, no other daemon does, so that nearly all calls running
@@ -73,6 +86,12 @@
     {
         return m_listedCount;
     }
+    /// Sets the daemons that divide the limits among themselves.
+    void assignLimitPool(const Limits::LimitPool &pool, Millis now);
+    /// Applies what an answer to this daemon said about a limit (`isOwn`) or what another daemon reported.
+    Limits::LimitChange observeLimit(UpstreamId id, const Limits::LimitObservation &observation, bool isOwn, Millis now);
+    /// Returns the limits to report to other daemons: those that changed, and those that answers to this daemon confirmed.
+    std::vector<NamedLimit> takeNamedLimits();
     /// Number of upstreams in the current list with a limit in force.
     std::size_t limitedCount(Millis now) const;
     /// Returns nothing if the name is unknown.
@@ -85,6 +104,7 @@
 
 private:
     void add(const UpstreamSpec &spec);
+    void assignLimitShare(UpstreamEntry &entry, Millis now) const;
     /// Frees the ids of unlisted upstreams that have nothing in flight.
     void releaseUnlisted();
 
@@ -92,6 +112,7 @@
     std::map<std::string, UpstreamId, std::less<>> m_ids;
     std::vector<UpstreamId> m_freeIds;
     std::size_t m_listedCount = 0;
+    Limits::LimitPool m_limitPool;
 };
 
 }
--- a/src/core/routing/rendezvous.h
+++ b/src/core/routing/rendezvous.h
@@ -16,6 +16,8 @@
 {
     std::string name;
     std::string domain;
+
+    friend bool operator==(const Candidate &, const Candidate &) = default;
 };
 
 /// Score of a member for a key; members with higher scores are preferred.
--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -22,6 +22,8 @@
 constexpr std::chrono::milliseconds tickInterval(100);
 // Contention samples kept for one report; each takes about 40 of the 1,400 bytes that a report may have.
 constexpr std::size_t maxContentionSamples = 16;
+// Limits in one report; each takes about 60 of its bytes.
+constexpr std::size_t maxReportedLimits = 12;
 // Reports of a reader are frequent because they keep other daemons from reading. Other reports carry call outcomes, and those
 // with failures are sent soonest.
 constexpr Millis readerReportInterval = 250_ms;
@@ -217,7 +219,8 @@
 Millis Control::reportInterval(bool isReader) const
 {
     const bool failures = std::any_of(m_outcomes.begin(), m_outcomes.end(), [](const auto &it) { return it.second.failures > 0; });
-    return failures ? failureReportInterval : isReader ? readerReportInterval : defaultReportInterval;
+    const bool limitChanges = std::any_of(m_limits.begin(), m_limits.end(), [](const auto &it) { return it.second.limit.isChange; });
+    return failures || limitChanges ? failureReportInterval : isReader ? readerReportInterval : defaultReportInterval;
 }
 
 PeerReport Control::positionReport() const
@@ -249,9 +252,27 @@
     }
     m_outcomes.clear();
     report.observations.contention = std::exchange(m_contention, {});
+    report.observations.limits = takeLimits();
     m_peers.sendReport(report, toAll);
 }
 
+std::vector<ReportedLimit> Control::takeLimits()
+{
+    const auto now = Process::steadyNow();
+    std::vector<ReportedLimit> limits;
+    for (const bool isChange : {true, false}) {
+        std::erase_if(m_limits, [&](const auto &it) {
+            if (limits.size() == maxReportedLimits || it.second.limit.isChange != isChange) {
+                return false;
+            }
+            limits.push_back(it.second.limit);
+            limits.back().age = now - it.second.since;
+            return true;
+        });
+    }
+    return limits;
+}
+
 void Control::handleReport(const PeerReport &report)
 {
     if (report.host == m_settings.host) {
@@ -451,15 +472,40 @@
             view->entries.push_back({.host = it.info.host, .domain = it.info.domain, .address = Config::toString(it.info.entry)});
         }
     }
+    view->limitPool = limitPool();
     m_events.onViewChanged(std::move(view));
 }
 
+Limits::LimitPool Control::limitPool() const
+{
+    Limits::LimitPool pool;
+    for (const auto &it : m_peers.members().others()) {
+        // A suspected daemon may still send calls, so another one must not use its shares yet.
+        const bool serves = it.state == Membership::MemberState::Alive || it.state == Membership::MemberState::Suspect;
+        if (serves && it.config.offset >= 0) {
+            pool.daemons.push_back({.name = it.info.host, .domain = it.info.domain});
+        }
+        pool.unreachable += it.state == Membership::MemberState::Dead ? 1 : 0;
+    }
+    pool.self = pool.daemons.size();
+    if (ready()) {
+        pool.daemons.push_back({.name = m_settings.host, .domain = m_settings.domain});
+    }
+    return pool;
+}
+
 void Control::addObservations(const Observations &observations)
 {
     // More samples would not fit into a report and would be dropped when it is encoded.
     if (m_contention.size() + observations.contention.size() <= maxContentionSamples) {
         m_contention.insert(m_contention.end(), observations.contention.begin(), observations.contention.end());
     }
+    for (const auto &it : observations.limits) {
+        auto &pending = m_limits[it.upstream];
+        const bool isChange = pending.limit.isChange || it.isChange;
+        pending = {.limit = it, .since = Process::steadyNow() - it.age};
+        pending.limit.isChange = isChange;
+    }
     for (const auto &it : observations.outcomes) {
         auto &total = m_outcomes[it.upstream];
         total.service = it.service;
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -109,6 +109,14 @@
         bool storeUnreachable = false;
     };
 
+    /// Limit of an upstream that is to be reported.
+    struct PendingLimit
+    {
+        ReportedLimit limit;
+        /// When `limit.age` was 0.
+        Millis since;
+    };
+
     FollowedTopic &followedTopic(Topic topic)
     {
         return *m_topics[static_cast<std::size_t>(topic)];
@@ -132,6 +140,8 @@
     PeerReport positionReport() const;
     /// Records of the feed for another daemon; the routes in force replace a record of routes that are not in force.
     Feed::FeedDelta recordsSince(Topic topic, const Feed::LogPosition &from) const;
+    /// Removes and returns the limits that fit into one report, changes first.
+    std::vector<ReportedLimit> takeLimits();
     /// Sends a report to all peers, or to some if there are many and `toAll` is not set.
     void sendReport(bool toAll);
     Millis reportInterval(bool isReader) const;
@@ -142,6 +152,7 @@
     /// Whether this daemon can serve calls: it knows routes and upstreams and is not draining.
     bool ready() const;
     bool routesCurrent() const;
+    Limits::LimitPool limitPool() const;
     /// Hosts of the alive and suspected members.
     std::vector<std::string> servingHosts() const;
 
@@ -163,6 +174,8 @@
     PeerLink m_peers;
     /// Outcomes for the next report, by upstream.
     std::map<std::string, UpstreamOutcome> m_outcomes;
+    /// Limits for the next reports, by upstream, with the time since which they hold.
+    std::map<std::string, PendingLimit> m_limits;
     /// Contention samples for the next report.
     std::vector<ServiceContention> m_contention;
     boost::asio::steady_timer m_timer;
--- a/src/entry/nodeview.h
+++ b/src/entry/nodeview.h
@@ -2,6 +2,7 @@
 #define LABURNUMMAST_ENTRY_NODEVIEW_H
 
 #include "core/fleet/upstreamtable.h"
+#include "core/limits/limitshare.h"
 #include "core/routes/routetable.h"
 
 #include <memory>
@@ -34,6 +35,8 @@
     std::vector<Fleet::KnownUpstream> upstreams;
     /// Daemons that are ready to accept calls.
     std::vector<EntryAddress> entries;
+    /// Daemons that divide the limits of upstreams among themselves.
+    Limits::LimitPool limitPool;
     /// Daemons that share the retry budget, this one and members that are not alive included.
     std::size_t daemonCount = 1;
     /// Alive and suspected daemons; they share the probe rate.
--- a/src/entry/peerreport.cpp
+++ b/src/entry/peerreport.cpp
@@ -5,8 +5,10 @@
 #include <algorithm>
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/array.hpp>
+#include <cereal/types/optional.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
+#include <cmath>
 #include <sstream>
 
 namespace Laburnummast::Entry
@@ -16,6 +18,12 @@
 
 constexpr std::uint8_t reportFormat = 1;
 
+bool isValid(const ReportedLimit &limit)
+{
+    const double perSecond = limit.perSecond.value_or(0);
+    return std::isfinite(perSecond) && perSecond >= 0 && std::isfinite(limit.age.count) && limit.age >= 0_ms;
+}
+
 std::string serializeReport(const PeerReport &report)
 {
     std::ostringstream stream;
@@ -31,7 +39,8 @@
             report.observations.outcomes,
             report.observations.contention,
             eras,
-            report.routesVersion);
+            report.routesVersion,
+            report.observations.limits);
     return stream.str();
 }
 
@@ -42,6 +51,10 @@
     auto bytes = serializeReport(report);
     auto &observations = report.observations;
     while (bytes.size() > maxReportBytes && !observations.empty()) {
+        // Limits are kept longest: without them, calls would exceed what an upstream accepts.
+        if (observations.outcomes.empty() && observations.contention.empty()) {
+            observations.limits.resize(observations.limits.size() / 2);
+        }
         observations.outcomes.resize(observations.outcomes.size() / 2);
         observations.contention.resize(observations.contention.size() / 2);
         bytes = serializeReport(report);
@@ -78,6 +91,12 @@
         if (!archive.atEnd()) {
             archive(report.routesVersion);
         }
+        if (!archive.atEnd()) {
+            archive(report.observations.limits);
+        }
+        if (!std::all_of(report.observations.limits.begin(), report.observations.limits.end(), isValid)) {
+            return PeerReportError::Malformed;
+        }
         return report;
     } catch (const std::exception &) {
         return PeerReportError::Malformed;
--- a/src/entry/peerreport.h
+++ b/src/entry/peerreport.h
@@ -8,6 +8,7 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -77,15 +78,35 @@
     }
 };
 
+/// Limit of one upstream, as its last answer to any daemon said.
+struct ReportedLimit
+{
+    std::string service;
+    std::string upstream;
+    /// Calls per second from all daemons together; empty if the upstream accepts any rate.
+    std::optional<double> perSecond;
+    /// Time since this was known to hold.
+    Millis age;
+    /// The limit in force has changed; not sent.
+    bool isChange = false;
+
+    template <class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(service, upstream, perSecond, age);
+    }
+};
+
 /// Observations from a daemon's calls since its last report.
 struct Observations
 {
     std::vector<UpstreamOutcome> outcomes;
     std::vector<ServiceContention> contention;
+    std::vector<ReportedLimit> limits;
 
     bool empty() const
     {
-        return outcomes.empty() && contention.empty();
+        return outcomes.empty() && contention.empty() && limits.empty();
     }
 };
 
--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -69,7 +69,7 @@
 }
 
 // Formats the values on which a refusal is based.
-std::string describeDispatcher(const Placement::ServiceDispatcher &dispatcher)
+std::string describeDispatcher(const Placement::ServiceDispatcher &dispatcher, Millis now)
 {
     return Text::concat("pressure=",
                         dispatcher.pressure(),
@@ -78,7 +78,9 @@
                         ",full-crowding=",
                         dispatcher.latencyModel().contentionFactor(1),
                         ",upstreams=",
-                        dispatcher.upstreamCount());
+                        dispatcher.upstreamCount(),
+                        ",limited=",
+                        dispatcher.limitedUpstreams(now));
 }
 
 AttemptOutcome outcomeOf(Http::ClientError error)
@@ -219,7 +221,7 @@
     for (auto &[name, service] : m_services) {
         const auto specs = byService.find(name);
         service->dispatcher.setUpstreams(specs == byService.end() ? std::vector<Placement::UpstreamSpec>() : specs->second);
-        service->dispatcher.configure(placementOptions());
+        service->dispatcher.configure(placementOptions(), steadyNow());
     }
 }
 
@@ -228,7 +230,7 @@
     m_settings.bounds = bounds;
     updateProbeRate();
     for (auto &[name, service] : m_services) {
-        service->dispatcher.configure(placementOptions());
+        service->dispatcher.configure(placementOptions(), steadyNow());
     }
 }
 
@@ -252,7 +254,8 @@
     return {.domain = m_settings.domain,
             .retries = {.ratio = bounds.retryRatio, .slack = bounds.retrySlack, .window = bounds.retryWindow, .daemons = daemons},
             .daemonDomains = domains,
-            .daemonIndex = static_cast<std::size_t>(own - serving.begin())};
+            .daemonIndex = static_cast<std::size_t>(own - serving.begin()),
+            .limitPool = m_view->limitPool};
 }
 
 void Traffic::updateProbeRate()
@@ -462,13 +465,14 @@
         return;
     }
     const auto perSecond = std::get<std::optional<double>>(limit);
-    applyLimit(service, upstream, {.perSecond = perSecond, .at = perSecond ? steadyNow() : sentAt}, "answer");
+    applyLimit(service, upstream, {.perSecond = perSecond, .at = perSecond ? steadyNow() : sentAt}, LimitSource::Answer);
 }
 
-void Traffic::applyLimit(Service &service, std::string_view upstream, const Limits::LimitObservation &observation, std::string_view source)
+void Traffic::applyLimit(Service &service, std::string_view upstream, const Limits::LimitObservation &observation, LimitSource source)
 {
     const auto now = steadyNow();
-    const auto change = service.dispatcher.observeLimit(upstream, observation, now);
+    const bool isOwn = source == LimitSource::Answer;
+    const auto change = service.dispatcher.observeLimit(upstream, observation, isOwn, now);
     if (change == Limits::LimitChange::None) {
         return;
     }
@@ -477,7 +481,8 @@
                     {{"upstream", std::string(upstream)},
                      {"service", service.name},
                      {"per-second", observation.perSecond ? Text::concat(*observation.perSecond) : "none"},
-                     {"source", std::string(source)},
+                     {"source", isOwn ? "answer" : "peer"},
+                     {"share", Text::concat(service.dispatcher.limitShareOf(upstream))},
                      {"age-ms", millisText(now - observation.at)}});
 }
 
@@ -529,7 +534,7 @@
         return;
     }
     found->second.lastError = Dispatch::nameOf(action.reason);
-    found->second.refusalDetails = describeDispatcher(found->second.service->dispatcher);
+    found->second.refusalDetails = describeDispatcher(found->second.service->dispatcher, steadyNow());
     endCall(found, CallEnd::NotRun, Platform::notRunResponse(found->second.call.id, action.retryAfter));
 }
 
@@ -668,6 +673,12 @@
             service->second->dispatcher.learnPeerContention(it.sample);
         }
     }
+    for (const auto &it : observations.limits) {
+        const auto service = m_services.find(it.service);
+        if (service != m_services.end()) {
+            applyLimit(*service->second, it.upstream, {.perSecond = it.perSecond, .at = now - it.age}, LimitSource::Peer);
+        }
+    }
 }
 
 void Traffic::reportObservations()
@@ -677,6 +688,13 @@
         for (const auto &it : service->dispatcher.takeOutcomes()) {
             observations.outcomes.push_back({.service = name, .upstream = it.upstream, .successes = it.successes, .failures = it.failures});
         }
+        for (const auto &it : service->dispatcher.takeNamedLimits()) {
+            observations.limits.push_back({.service = name,
+                                           .upstream = it.upstream,
+                                           .perSecond = it.observation.perSecond,
+                                           .age = steadyNow() - it.observation.at,
+                                           .isChange = it.isChange});
+        }
         if (const auto sample = service->dispatcher.takeContentionSample(); sample.answers > 0) {
             observations.contention.push_back({.service = name, .sample = sample});
         }
--- a/src/entry/traffic.h
+++ b/src/entry/traffic.h
@@ -133,6 +133,12 @@
         std::optional<Millis> timerDue;
     };
 
+    /// From where the limit of an upstream is known.
+    enum class LimitSource : std::uint8_t {
+        Answer,
+        Peer,
+    };
+
     struct ActiveAttempt
     {
         std::shared_ptr<Http::ClientConnection> connection;
@@ -184,7 +190,7 @@
     void cancelAttempt(const Dispatch::CancelAttempt &action);
     /// Takes the limit that the answer to an attempt or probe names, or that it names none.
     void learnLimit(Service &service, const std::string &upstream, const Http::Response &response, Millis sentAt);
-    void applyLimit(Service &service, std::string_view upstream, const Limits::LimitObservation &observation, std::string_view source);
+    void applyLimit(Service &service, std::string_view upstream, const Limits::LimitObservation &observation, LimitSource source);
     void handleAttemptResult(
         Service &service, Dispatch::CallId id, Dispatch::AttemptNumber number, const std::string &upstream, Http::ClientResult result);
     /// Answers the caller, cancels the attempts in flight and removes the call.
--- a/tests/entry/peerreport.cpp
+++ b/tests/entry/peerreport.cpp
@@ -5,6 +5,7 @@
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
 #include <doctest/doctest.h>
+#include <limits>
 #include <random>
 #include <sstream>
 
@@ -148,3 +149,33 @@
     }
     CHECK(rejected > 0);
 }
+
+TEST_CASE("Limits of upstreams pass from daemon to daemon, and a report of an older daemon has none")
+{
+    auto report = sampleReport();
+    CHECK(std::get<PeerReport>(decodeReport(encodeReport(report))).observations.limits.empty());
+    report.observations.limits = {{.service = "orders", .upstream = "u1", .perSecond = 4.1, .age = 120_ms},
+                                  {.service = "orders", .upstream = "u2", .perSecond = std::nullopt, .age = 7_ms}};
+    const auto decoded = std::get<PeerReport>(decodeReport(encodeReport(report))).observations.limits;
+    REQUIRE(decoded.size() == 2);
+    CHECK(decoded[0].upstream == "u1");
+    CHECK(decoded[0].perSecond == 4.1);
+    CHECK(decoded[0].age == 120_ms);
+    CHECK_FALSE(decoded[1].perSecond);
+}
+
+TEST_CASE("Limits stay in a report that is too long, and a report with an unusable limit is rejected")
+{
+    auto report = sampleReport();
+    for (int i = 0; i < 100; ++i) {
+        report.observations.outcomes.push_back({.service = "orders", .upstream = "u" + std::to_string(i), .successes = 3, .failures = 1});
+    }
+    for (int i = 0; i < 12; ++i) {
+        report.observations.limits.push_back({.service = "orders", .upstream = "i-0123456789", .perSecond = 2, .age = 1_ms});
+    }
+    CHECK(std::get<PeerReport>(decodeReport(encodeReport(report))).observations.limits.size() == 12);
+    for (const double perSecond : {-1.0, std::numeric_limits<double>::quiet_NaN(), std::numeric_limits<double>::infinity()}) {
+        report.observations.limits = {{.service = "orders", .upstream = "u1", .perSecond = perSecond, .age = 1_ms}};
+        CHECK(std::get<PeerReportError>(decodeReport(encodeReport(report))) == PeerReportError::Malformed);
+    }
+}
--- a/tests/entry/wholepath.cpp
+++ b/tests/entry/wholepath.cpp
@@ -553,3 +553,27 @@
     drain.join();
     CHECK(*drained);
 }
+
+TEST_CASE("A limit that upstreams name to one daemon holds on every daemon")
+{
+    System system(2);
+    system.publishAll();
+    system.startNode(0);
+    system.startNode(1);
+    REQUIRE(system.ready(0));
+    REQUIRE(system.ready(1));
+    for (const auto &it : system.upstreams) {
+        it->limit = "0";
+    }
+    REQUIRE(system.runUntil([&] { return system.call(0, "/r/x").status == 503; }));
+    const auto knownLimits = [&] {
+        const auto state = system.node(1).stateDump();
+        return state.find("limit=0", state.find("upstream w0")) != std::string::npos
+            && state.find("limit=0", state.find("upstream w1")) != std::string::npos;
+    };
+    REQUIRE(system.runUntil(knownLimits));
+    const auto executed = system.executedCalls();
+    CHECK(system.call(1, "/r/x").status == 503);
+    CHECK(system.call(1, "/t/x").status == 503);
+    CHECK(system.executedCalls() == executed);
+}
--- a/tests/limits/upstreamlimit.cpp
+++ b/tests/limits/upstreamlimit.cpp
@@ -44,3 +44,37 @@
     CHECK_FALSE(limit.perSecond(51_s));
     CHECK(limit.observe({.perSecond = 4.5, .at = 60_s}, 60_s) == LimitChange::Set);
 }
+
+TEST_CASE("Calls keep to the share of a limit, also after a pause, and are unlimited once it has ended")
+{
+    UpstreamLimit limit;
+    limit.observe({.perSecond = 4.0, .at = 1_s}, 1_s);
+    limit.assignShare(2, 1_s);
+    CHECK_FALSE(limit.allowsCall(1_s));
+    CHECK(limit.nextCallAt(1_s) == 1500_ms);
+    int calls = 0;
+    for (Millis now = 6_s; now < 10_s; now += 1_ms) {
+        if (limit.allowsCall(now)) {
+            limit.recordCall(now);
+            ++calls;
+        }
+    }
+    // Two a second and one that was not used before.
+    CHECK(calls == 9);
+    limit.observe({.perSecond = std::nullopt, .at = 10_s}, 10_s);
+    CHECK(limit.allowsCall(10_s));
+    CHECK(limit.hasShare(10_s));
+}
+
+TEST_CASE("A daemon without a share of a limit sends no call, and one that gets a share does not send at once")
+{
+    UpstreamLimit limit;
+    limit.observe({.perSecond = 4.0, .at = 1_s}, 1_s);
+    CHECK_FALSE(limit.hasShare(1_s));
+    CHECK_FALSE(limit.nextCallAt(1_s));
+    limit.assignShare(4, 5_s);
+    CHECK_FALSE(limit.allowsCall(5_s));
+    CHECK(limit.allowsCall(5250_ms));
+    limit.assignShare(0, 5300_ms);
+    CHECK_FALSE(limit.allowsCall(20_s));
+}
--- a/tests/platform/fakeupstream.h
+++ b/tests/platform/fakeupstream.h
@@ -67,6 +67,8 @@
     }
 
     Mode mode = Mode::Normal;
+    /// Limit that its answers to calls name, in calls per second; none if empty.
+    std::string limit;
     /// Requests executed so far, including those that were not answered.
     std::vector<Http::Request> executed;
     int probes = 0;
@@ -88,6 +90,9 @@
             return;
         }
         Http::Headers headers{load, {"Laburnummast-Request-Id", std::string(*id)}};
+        if (!limit.empty()) {
+            headers.push_back({"Server-Limit", limit});
+        }
         const auto body = Text::concat(m_id, " ", request.method, " ", request.target, " ", request.body);
         switch (mode) {
         case Mode::Shedding:
