Share the list of daemons that divide limits instead of copying it for each service

Each change of the view copied the list of daemons twice for every service and sorted the entry list once for each. The options are worked out once a view, and the list is shared.

--- a/src/core/placement/placementoptions.h
+++ b/src/core/placement/placementoptions.h
@@ -6,6 +6,7 @@
 #include "core/retry/sharedretrybudget.h"
 
 #include <cstddef>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -22,8 +23,8 @@
     /// Failure domains of all serving daemons, in the same order on every daemon, and the index of this daemon in it.
     std::vector<std::string> daemonDomains;
     std::size_t daemonIndex = 0;
-    /// Daemons that divide the limits of upstreams among themselves.
-    Limits::LimitPool limitPool;
+    /// Daemons that divide the limits of upstreams among themselves; null if unknown, then this daemon has no share.
+    std::shared_ptr<const Limits::LimitPool> limitPool;
     /// Upstreams probed in the first round of a search.
     std::size_t firstRoundProbes = 4;
     /// Replaces `firstRoundProbes` while pressure is low or few probe tokens are left.
--- a/src/core/placement/upstreamset.cpp
+++ b/src/core/placement/upstreamset.cpp
@@ -85,12 +85,13 @@
     return it == m_ids.end() ? std::nullopt : std::optional(it->second);
 }
 
-void UpstreamSet::assignLimitPool(const Limits::LimitPool &pool, Millis now)
+void UpstreamSet::assignLimitPool(const std::shared_ptr<const Limits::LimitPool> &pool, Millis now)
 {
-    if (m_limitPool == pool) {
+    const bool unchanged = m_limitPool == pool || (m_limitPool && pool && *m_limitPool == *pool);
+    m_limitPool = pool;
+    if (unchanged) {
         return;
     }
-    m_limitPool = pool;
     for (auto &it : m_entries) {
         assignLimitShare(it, now);
     }
@@ -98,12 +99,12 @@
 
 void UpstreamSet::assignLimitShare(UpstreamEntry &entry, Millis now) const
 {
-    if (const auto perSecond = entry.limit.perSecond(now)) {
+    double share = 0;
+    if (const auto perSecond = entry.limit.perSecond(now); perSecond && m_limitPool) {
         const auto &spec = entry.view.spec();
-        entry.limit.assignShare(Limits::limitShare({.id = spec.id, .domain = spec.domain, .perSecond = *perSecond}, m_limitPool), now);
-    } else {
-        entry.limit.assignShare(0, now);
+        share = Limits::limitShare({.id = spec.id, .domain = spec.domain, .perSecond = *perSecond}, *m_limitPool);
     }
+    entry.limit.assignShare(share, now);
 }
 
 Limits::LimitChange UpstreamSet::observeLimit(UpstreamId id, const Limits::LimitObservation &observation, bool isOwn, Millis now)
--- a/src/core/placement/upstreamset.h
+++ b/src/core/placement/upstreamset.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <span>
 #include <string>
@@ -87,7 +88,7 @@
         return m_listedCount;
     }
     /// Sets the daemons that divide the limits among themselves.
-    void assignLimitPool(const Limits::LimitPool &pool, Millis now);
+    void assignLimitPool(const std::shared_ptr<const Limits::LimitPool> &pool, Millis now);
     /// Applies what an answer to this daemon said about a limit (`isOwn`) or what another daemon reported.
     Limits::LimitChange observeLimit(UpstreamId id, const Limits::LimitObservation &observation, bool isOwn, Millis now);
     /// Returns the limits to report to other daemons: those that changed, and those that answers to this daemon confirmed.
@@ -112,7 +113,7 @@
     std::map<std::string, UpstreamId, std::less<>> m_ids;
     std::vector<UpstreamId> m_freeIds;
     std::size_t m_listedCount = 0;
-    Limits::LimitPool m_limitPool;
+    std::shared_ptr<const Limits::LimitPool> m_limitPool;
 };
 
 }
--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -472,7 +472,7 @@
             view->entries.push_back({.host = it.info.host, .domain = it.info.domain, .address = Config::toString(it.info.entry)});
         }
     }
-    view->limitPool = limitPool();
+    view->limitPool = std::make_shared<const Limits::LimitPool>(limitPool());
     m_events.onViewChanged(std::move(view));
 }
 
--- a/src/entry/nodeview.h
+++ b/src/entry/nodeview.h
@@ -36,7 +36,7 @@
     /// Daemons that are ready to accept calls.
     std::vector<EntryAddress> entries;
     /// Daemons that divide the limits of upstreams among themselves.
-    Limits::LimitPool limitPool;
+    std::shared_ptr<const Limits::LimitPool> limitPool;
     /// Daemons that share the retry budget, this one and members that are not alive included.
     std::size_t daemonCount = 1;
     /// Alive and suspected daemons; they share the probe rate.
--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -218,10 +218,11 @@
                            .idleTimeout = limits.idleTimeout});
     }
     updateProbeRate();
+    const auto options = placementOptions();
     for (auto &[name, service] : m_services) {
         const auto specs = byService.find(name);
         service->dispatcher.setUpstreams(specs == byService.end() ? std::vector<Placement::UpstreamSpec>() : specs->second);
-        service->dispatcher.configure(placementOptions(), steadyNow());
+        service->dispatcher.configure(options, steadyNow());
     }
 }
 
@@ -229,8 +230,9 @@
 {
     m_settings.bounds = bounds;
     updateProbeRate();
+    const auto options = placementOptions();
     for (auto &[name, service] : m_services) {
-        service->dispatcher.configure(placementOptions(), steadyNow());
+        service->dispatcher.configure(options, steadyNow());
     }
 }
 
--- a/tests/placement/upstreamlimits.cpp
+++ b/tests/placement/upstreamlimits.cpp
@@ -142,19 +142,19 @@
 
     PlacementOptions optionsOf(std::size_t self) const
     {
-        PlacementOptions options{.domain = domainOf(self)};
+        auto pool = std::make_shared<Limits::LimitPool>();
         for (std::size_t i = 0; i < m_daemons.size(); ++i) {
             const auto &daemon = *m_daemons[i];
             if (daemon.leavesPoolsAt && *daemon.leavesPoolsAt <= m_now) {
-                ++options.limitPool.unreachable;
+                ++pool->unreachable;
                 continue;
             }
             if (i == self) {
-                options.limitPool.self = options.limitPool.daemons.size();
+                pool->self = pool->daemons.size();
             }
-            options.limitPool.daemons.push_back({.name = "host-" + std::to_string(i), .domain = domainOf(i)});
+            pool->daemons.push_back({.name = "host-" + std::to_string(i), .domain = domainOf(i)});
         }
-        return options;
+        return {.domain = domainOf(self), .limitPool = std::move(pool)};
     }
 
     void step()
