--- a/src/cli/logtrail.cpp
+++ b/src/cli/logtrail.cpp
@@ -72,11 +72,15 @@
     const auto namesCall = [&](const LogLine &it) { return fieldOf(it.text, "id") == callId; };
     std::set<std::string> processes;
     std::set<std::string> upstreams;
+    std::set<std::string> refusingServices;
     std::string lastTime;
     for (const auto &it : parsed) {
         if (namesCall(it)) {
             processes.insert(it.process);
             upstreams.insert(fieldOf(it.text, "upstream").value_or(""));
+            if (fieldOf(it.text, "end") == "not-run") {
+                refusingServices.insert(fieldOf(it.text, "service").value_or(""));
+            }
             lastTime = it.time;
         }
     }
@@ -89,7 +93,11 @@
         const auto upstream = fieldOf(it->text, "upstream").value_or("");
         const bool isUpstreamContext
             = precedesEnd && isUpstreamEvent(*it) && upstreams.contains(upstream) && shown.insert({it->process, upstream}).second;
-        if (namesCall(*it) || isContext || isUpstreamContext) {
+        // A refusal depends on the limits of all upstreams of the service, another end only on that of the call's own upstream.
+        const bool concernsCall = upstreams.contains(upstream) || refusingServices.contains(fieldOf(it->text, "service").value_or(""));
+        const bool isLimitContext = precedesEnd && it->event == "upstream-limit" && concernsCall
+            && shown.insert({it->process, Text::concat("limit of ", upstream)}).second;
+        if (namesCall(*it) || isContext || isUpstreamContext || isLimitContext) {
             trail.push_back(it->text);
         }
     }
--- a/tests/cli/logtrail.cpp
+++ b/tests/cli/logtrail.cpp
@@ -37,6 +37,25 @@
     CHECK(trail[3].find("attempt-failed id=c1") != std::string::npos);
 }
 
+TEST_CASE("The log trail of a refused call contains the last limit of each upstream of its service, that of another call only its own")
+{
+    const std::vector<std::string> lines{
+        logLine(1, "host-1", "upstream-limit upstream=u1 service=s per-second=4 share=0"),
+        logLine(2, "host-1", "upstream-limit upstream=u1 service=s per-second=none share=0"),
+        logLine(3, "host-1", "upstream-limit upstream=u2 service=s per-second=3 share=3"),
+        logLine(3, "host-1", "upstream-limit upstream=u3 service=other per-second=3 share=3"),
+        logLine(4, "host-1", "call id=c1 service=s end=not-run status=503 upstream=\"\""),
+        logLine(4, "host-1", "call id=c2 service=s end=answered status=200 upstream=u2"),
+    };
+    const auto refused = collectLogTrail("c1", lines);
+    REQUIRE(refused.size() == 3);
+    CHECK(refused[0].find("per-second=none") != std::string::npos);
+    CHECK(refused[1].find("upstream=u2") != std::string::npos);
+    const auto answered = collectLogTrail("c2", lines);
+    REQUIRE(answered.size() == 2);
+    CHECK(answered[0].find("upstream=u2") != std::string::npos);
+}
+
 TEST_CASE("The log trail of a call that no line names is empty")
 {
     CHECK(collectLogTrail("c2", logLines).empty());
