Confirm the end of a limit for some seconds, and pass on only its begin and end

Found while reading the change again: a daemon that heard of a limit over a slow link places it later than it was named and then takes the report of its end for an older one; nothing repeated that end, so it would have left the upstream alone for 30 s. Answers without a limit now confirm the end for 5 s. A limit whose value changes with each answer would have made every daemon relay every change at ten reports a second; only its begin and end are relayed, the value travels with the confirmations.

The test "The end of a limit reaches a daemon that took the first report of it for an older one" fails without the confirmation.

--- a/src/core/placement/upstreamset.cpp
+++ b/src/core/placement/upstreamset.cpp
@@ -12,6 +12,8 @@
 
 // Reports that repeat a changed limit. Where reports go to some daemons only, each of these passes the change on as often.
 constexpr int limitChangeReports = 2;
+// How long further answers confirm the end of a limit to other daemons, which ignore a report that seems older than what they know.
+constexpr Millis endConfirmationTime = 5_s;
 
 }
 
@@ -110,12 +112,16 @@
 Limits::LimitChange UpstreamSet::observeLimit(UpstreamId id, const Limits::LimitObservation &observation, bool isOwn, Millis now)
 {
     auto &entry = m_entries[id];
+    const bool wasLimited = entry.limit.perSecond(now).has_value();
     const auto change = entry.limit.observe(observation, now);
     if (change != Limits::LimitChange::None) {
         assignLimitShare(entry, now);
+    }
+    if (entry.limit.perSecond(now).has_value() != wasLimited) {
         entry.limitReportsDue = limitChangeReports;
         entry.limitChanged = true;
-    } else if (isOwn && observation.perSecond) {
+        entry.limitChangedAt = now;
+    } else if (isOwn && entry.limit.latest() && (observation.perSecond || now - entry.limitChangedAt <= endConfirmationTime)) {
         entry.limitReportsDue = std::max(entry.limitReportsDue, 1);
     }
     return change;
--- a/src/core/placement/upstreamset.h
+++ b/src/core/placement/upstreamset.h
@@ -33,7 +33,7 @@
 {
     std::string upstream;
     Limits::LimitObservation observation;
-    /// The limit in force has changed; otherwise it was only confirmed.
+    /// The limit has begun or ended; otherwise it was only confirmed.
     bool isChange = false;
 };
 
@@ -42,9 +42,11 @@
 {
     UpstreamView view;
     Limits::UpstreamLimit limit;
-    /// Reports to other daemons that the limit is still to be part of, and whether it has changed since the last one.
+    /// Reports to other daemons that the limit is still to be part of, and whether it began or ended since the last one.
     int limitReportsDue = 0;
     bool limitChanged = false;
+    /// When the limit last began or ended.
+    Millis limitChangedAt{};
     /// In the current list of upstreams; one that is not may still have calls or probes in flight.
     bool listed = true;
     /// This daemon prefers it. Unless there are more daemons than upstreams, no other daemon does, so that nearly all calls running
@@ -91,7 +93,7 @@
     void assignLimitPool(const std::shared_ptr<const Limits::LimitPool> &pool, Millis now);
     /// Applies what an answer to this daemon said about a limit (`isOwn`) or what another daemon reported.
     Limits::LimitChange observeLimit(UpstreamId id, const Limits::LimitObservation &observation, bool isOwn, Millis now);
-    /// Returns the limits to report to other daemons: those that changed, and those that answers to this daemon confirmed.
+    /// Returns the limits to report to other daemons: those that began or ended, and those that answers to this daemon confirmed.
     std::vector<NamedLimit> takeNamedLimits();
     /// Number of upstreams in the current list with a limit in force.
     std::size_t limitedCount(Millis now) const;
--- a/src/entry/peerreport.h
+++ b/src/entry/peerreport.h
@@ -87,7 +87,7 @@
     std::optional<double> perSecond;
     /// Time since this was known to hold.
     Millis age;
-    /// The limit in force has changed; not sent.
+    /// The limit has begun or ended; not sent.
     bool isChange = false;
 
     template <class Archive>
--- a/tests/placement/upstreamlimits.cpp
+++ b/tests/placement/upstreamlimits.cpp
@@ -338,3 +338,29 @@
     CHECK(play.refused > 1000);
     CHECK(play.refusedLate <= play.refused / 100);
 }
+
+TEST_CASE("The end of a limit reaches a daemon that took the first report of it for an older one")
+{
+    Retry::TokenBucket tokens{1000, 1000};
+    ServiceDispatcher caller({.domain = "a"}, tokens, 1);
+    ServiceDispatcher other({.domain = "a"}, tokens, 2);
+    const std::vector<UpstreamSpec> specs{{.id = "u0", .domain = "a", .slots = 3}};
+    caller.setUpstreams(specs);
+    other.setUpstreams(specs);
+    caller.observeLimit("u0", {.perSecond = 4.0, .at = 1000_ms}, true, 1000_ms);
+    // A slow link makes the limit seem later than it was named.
+    other.observeLimit("u0", {.perSecond = 4.0, .at = 1300_ms}, false, 1300_ms);
+    caller.takeNamedLimits();
+    const auto report = [&](Millis now) {
+        for (const auto &it : caller.takeNamedLimits()) {
+            other.observeLimit(it.upstream, it.observation, false, now);
+        }
+    };
+    caller.observeLimit("u0", {.perSecond = std::nullopt, .at = 1200_ms}, true, 1300_ms);
+    report(1400_ms);
+    report(1500_ms);
+    CHECK(other.limitedUpstreams(1500_ms) == 1);
+    caller.observeLimit("u0", {.perSecond = std::nullopt, .at = 1500_ms}, true, 1600_ms);
+    report(1700_ms);
+    CHECK(other.limitedUpstreams(1700_ms) == 0);
+}
