Upstreams that are leaving or want no calls for a time get none; refusals count only with the call's id

Cause: no code read the statement of an answer that its upstream is leaving, nor the Retry-After of a refusal, so such an upstream was probed and called until its record changed. Besides, a refusal without an id was taken for the answer of the present call on a kept connection: an upstream that repeats an earlier refusal could make a call that runs look as not executed.

Change: core/placement/UpstreamAvailability holds both statements for each start of an upstream, one check for each probe and attempt (isEligible), remembered while the record lapses. If no upstream accepts calls in time, a call is rejected at once with a Retry-After that is not before the end of the first pause. The check that accepted a refusal without an id was wrong: answers to calls repeat the id; its test is replaced by the opposite check. Logs, metrics, /state and explain show both statements.

--- a/src/cli/logtrail.cpp
+++ b/src/cli/logtrail.cpp
@@ -26,6 +26,12 @@
     return line.event == "upstream" || line.event == "upstream-removed" || line.event == "upstream-unreadable";
 }
 
+// Events that tell why an upstream gets fewer calls of the daemon, or none.
+bool isRestrictionEvent(const LogLine &line)
+{
+    return line.event == "upstream-limit" || line.event == "upstream-leaving" || line.event == "upstream-paused";
+}
+
 }
 
 std::optional<std::string> fieldOf(std::string_view line, std::string_view key)
@@ -93,11 +99,12 @@
         const auto upstream = fieldOf(it->text, "upstream").value_or("");
         const bool isUpstreamContext
             = precedesEnd && isUpstreamEvent(*it) && upstreams.contains(upstream) && shown.insert({it->process, upstream}).second;
-        // A refusal depends on the limits of all upstreams of the service, another end only on that of the call's own upstream.
+        // A refusal depends on the limits and the availability of all upstreams of the service, another end only on those of the call's
+        // own upstream.
         const bool concernsCall = upstreams.contains(upstream) || refusingServices.contains(fieldOf(it->text, "service").value_or(""));
-        const bool isLimitContext = precedesEnd && it->event == "upstream-limit" && concernsCall
-            && shown.insert({it->process, Text::concat("limit of ", upstream)}).second;
-        if (namesCall(*it) || isContext || isUpstreamContext || isLimitContext) {
+        const bool isRestrictionContext = precedesEnd && isRestrictionEvent(*it) && concernsCall
+            && shown.insert({it->process, Text::concat(it->event, " of ", upstream)}).second;
+        if (namesCall(*it) || isContext || isUpstreamContext || isRestrictionContext) {
             trail.push_back(it->text);
         }
     }
--- a/src/core/placement/servicedispatcher.cpp
+++ b/src/core/placement/servicedispatcher.cpp
@@ -95,6 +95,13 @@
     return id ? m_upstreams.observeLimit(*id, observation, isOwn, now) : Limits::LimitChange::None;
 }
 
+AvailabilityChange
+ServiceDispatcher::observeAvailability(std::string_view upstream, std::int64_t startedAt, const AvailabilityNotice &notice, Millis now)
+{
+    const auto id = m_upstreams.idOf(upstream);
+    return id ? m_upstreams.observeAvailability(*id, startedAt, notice, now) : AvailabilityChange::None;
+}
+
 std::size_t ServiceDispatcher::waitingCalls() const
 {
     return static_cast<std::size_t>(std::count_if(m_calls.begin(), m_calls.end(), [](const auto &it) {
@@ -135,7 +142,7 @@
 
 bool ServiceDispatcher::isEligible(const UpstreamEntry &entry, Millis now) const
 {
-    return entry.listed && !entry.view.inBackoff(now) && entry.limit.allowsCall(now);
+    return entry.listed && !entry.view.inBackoff(now) && entry.availability.accepts(now) && entry.limit.allowsCall(now);
 }
 
 bool ServiceDispatcher::isPreferred(const UpstreamEntry &entry, Millis now) const
@@ -335,7 +342,7 @@
         call.hedgeAt = call.spec.deadline;
         return false;
     }
-    const auto roomAt = limitsLeaveRoomAt(call, now);
+    const auto roomAt = upstreamsLeaveRoomAt(call, now);
     if (now >= waitLimit(call) || !roomAt || *roomAt > waitLimit(call)) {
         const auto fallback = call.lackedProbeTokens && m_pressure <= highPressure ? fallbackChoice(call, now) : std::nullopt;
         if (!fallback) {
@@ -353,31 +360,34 @@
     return false;
 }
 
-std::optional<Millis> ServiceDispatcher::limitsLeaveRoomAt(const OpenCall &call, Millis now) const
+std::optional<Millis> ServiceDispatcher::upstreamsLeaveRoomAt(const OpenCall &call, Millis now) const
 {
-    std::optional<Millis> nextCallAt;
+    std::optional<Millis> unlimitedAt;
+    std::optional<Millis> limitedAt;
     double sharesPerSecond = 0;
     for (UpstreamId id = 0; id < m_upstreams.size(); ++id) {
         const auto &entry = m_upstreams[id];
-        if (!entry.listed) {
+        const auto acceptsAt = entry.availability.acceptsAt(now);
+        const auto limitAllowsAt = entry.limit.nextCallAt(now);
+        if (!entry.listed || !acceptsAt || !limitAllowsAt) {
             continue;
         }
-        if (!entry.limit.perSecond(now)) {
-            return now;
-        }
-        if (const auto at = entry.limit.nextCallAt(now)) {
-            nextCallAt = nextCallAt ? std::min(*nextCallAt, *at) : *at;
-            sharesPerSecond += entry.limit.share();
-        }
+        const auto at = std::max(*acceptsAt, *limitAllowsAt);
+        auto &earliest = entry.limit.perSecond(now) ? limitedAt : unlimitedAt;
+        earliest = earliest ? std::min(*earliest, at) : at;
+        sharesPerSecond += entry.limit.perSecond(now) ? entry.limit.share() : 0;
     }
-    if (!nextCallAt) {
-        return std::nullopt;
+    if (unlimitedAt && *unlimitedAt <= now) {
+        return now;
     }
-    const auto callsAhead = std::count_if(m_calls.begin(), m_calls.end(), [&](const auto &it) {
-        const auto &other = it.second;
-        return other.search == Search::First && other.probeRounds >= maxProbeRounds && goesBefore(other.spec, call.spec);
-    });
-    return *nextCallAt + 1_s * (static_cast<double>(callsAhead) / sharesPerSecond);
+    if (limitedAt) {
+        const auto callsAhead = std::count_if(m_calls.begin(), m_calls.end(), [&](const auto &it) {
+            const auto &other = it.second;
+            return other.search == Search::First && other.probeRounds >= maxProbeRounds && goesBefore(other.spec, call.spec);
+        });
+        limitedAt = *limitedAt + 1_s * (static_cast<double>(callsAhead) / sharesPerSecond);
+    }
+    return limitedAt && unlimitedAt ? std::min(*limitedAt, *unlimitedAt) : limitedAt ? limitedAt : unlimitedAt;
 }
 
 void ServiceDispatcher::probeForWaitingCalls(OpenCall &call, Millis now, Actions &actions)
@@ -457,7 +467,9 @@
     const auto timeToObjective = call.spec.objective - now - m_latencyModel.typicalLatency();
     const auto spreadRange = timeToObjective > 0_ms ? timeToObjective * 0.6 : (call.spec.deadline - now) * 0.33;
     std::uniform_real_distribution<double> spread(0.4, 1.0);
-    return std::max(5_ms, spreadRange * spread(m_random));
+    const auto delay = std::max(5_ms, spreadRange * spread(m_random));
+    const auto roomAt = upstreamsLeaveRoomAt(call, now);
+    return roomAt && *roomAt > now ? std::max(delay, *roomAt - now) : delay;
 }
 
 void ServiceDispatcher::probeEnded(UpstreamId upstream, const ProbeResult &result, Millis now, Actions &actions)
--- a/src/core/placement/servicedispatcher.h
+++ b/src/core/placement/servicedispatcher.h
@@ -93,6 +93,19 @@
     /// Applies what an answer to this daemon said about an upstream's limit (`isOwn`) or what another daemon reported; ignored if the
     /// name is unknown.
     Limits::LimitChange observeLimit(std::string_view upstream, const Limits::LimitObservation &observation, bool isOwn, Millis now);
+    /// Applies what an answer to this daemon said about an upstream's availability; see UpstreamSet::observeAvailability(). Ignored if
+    /// the name is unknown.
+    AvailabilityChange observeAvailability(std::string_view upstream, std::int64_t startedAt, const AvailabilityNotice &notice, Millis now);
+    /// Number of listed upstreams that are leaving or want no calls at present.
+    std::size_t unavailableUpstreams(Millis now) const
+    {
+        return m_upstreams.unavailableCount(now);
+    }
+    /// What an upstream said about its availability.
+    const UpstreamAvailability &availabilityOf(UpstreamId upstream) const
+    {
+        return m_upstreams[upstream].availability;
+    }
     /// Returns the limits to report to other daemons; see UpstreamSet::takeNamedLimits().
     std::vector<NamedLimit> takeNamedLimits()
     {
@@ -273,8 +286,8 @@
     void advanceSearches(Millis now, Actions &actions);
     bool isEligible(const UpstreamEntry &entry, Millis now) const;
     bool isPreferred(const UpstreamEntry &entry, Millis now) const;
-    /// When the limits of the upstreams leave room for the call after those that go before it; empty if never.
-    std::optional<Millis> limitsLeaveRoomAt(const OpenCall &call, Millis now) const;
+    /// When pauses and limits of the upstreams leave room for the call after those that go before it; empty if never.
+    std::optional<Millis> upstreamsLeaveRoomAt(const OpenCall &call, Millis now) const;
 
     PlacementOptions m_options;
     std::mt19937_64 m_random;
--- a/src/core/placement/upstreamset.cpp
+++ b/src/core/placement/upstreamset.cpp
@@ -14,6 +14,8 @@
 constexpr int limitChangeReports = 2;
 // How long further answers confirm the end of a limit to other daemons, which ignore a report that seems older than what they know.
 constexpr Millis endConfirmationTime = 5_s;
+// Upstreams that are no longer listed whose availability is remembered.
+constexpr std::size_t maxRemembered = 4096;
 
 }
 
@@ -31,6 +33,7 @@
             if (entry.view.spec().startedAt != spec.startedAt) {
                 entry.limit = {};
                 entry.limitReportsDue = 0;
+                entry.availability = {};
             }
             entry.view.update(spec);
             entry.listed = true;
@@ -50,9 +53,22 @@
         m_freeIds.pop_back();
         m_entries[id] = {.view = UpstreamView(spec)};
     }
+    m_entries[id].availability = takeRemembered(spec);
     m_ids.emplace(spec.id, id);
 }
 
+UpstreamAvailability UpstreamSet::takeRemembered(const UpstreamSpec &spec)
+{
+    const auto it = std::find_if(
+        m_remembered.begin(), m_remembered.end(), [&](const RememberedAvailability &known) { return known.upstream == spec.id; });
+    if (it == m_remembered.end()) {
+        return {};
+    }
+    const auto availability = it->startedAt == spec.startedAt ? it->availability : UpstreamAvailability{};
+    m_remembered.erase(it);
+    return availability;
+}
+
 void UpstreamSet::releaseUnlisted()
 {
     std::erase_if(m_ids, [&](const auto &it) {
@@ -60,9 +76,16 @@
         const bool unused = !upstream.listed && !upstream.probing && upstream.view.inFlight() == 0;
         if (unused) {
             m_freeIds.push_back(it.second);
+            if (upstream.availability.isRestricted()) {
+                m_remembered.push_back(
+                    {.upstream = it.first, .startedAt = upstream.view.spec().startedAt, .availability = upstream.availability});
+            }
         }
         return unused;
     });
+    while (m_remembered.size() > maxRemembered) {
+        m_remembered.pop_front();
+    }
 }
 
 void UpstreamSet::assignPreferred(std::span<const std::string> daemonDomains, std::size_t daemonIndex)
@@ -127,6 +150,18 @@
     return change;
 }
 
+AvailabilityChange UpstreamSet::observeAvailability(UpstreamId id, std::int64_t startedAt, const AvailabilityNotice &notice, Millis now)
+{
+    auto &entry = m_entries[id];
+    return entry.view.spec().startedAt == startedAt ? entry.availability.apply(notice, now) : AvailabilityChange::None;
+}
+
+std::size_t UpstreamSet::unavailableCount(Millis now) const
+{
+    return static_cast<std::size_t>(std::count_if(
+        m_entries.begin(), m_entries.end(), [&](const UpstreamEntry &it) { return it.listed && !it.availability.accepts(now); }));
+}
+
 std::vector<NamedLimit> UpstreamSet::takeNamedLimits()
 {
     std::vector<NamedLimit> limits;
--- a/src/core/placement/upstreamset.h
+++ b/src/core/placement/upstreamset.h
@@ -4,9 +4,11 @@
 #include "core/dispatch/call.h"
 #include "core/limits/limitshare.h"
 #include "core/limits/upstreamlimit.h"
+#include "core/placement/upstreamavailability.h"
 #include "core/placement/upstreamview.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -41,6 +43,7 @@
 struct UpstreamEntry
 {
     UpstreamView view;
+    UpstreamAvailability availability;
     Limits::UpstreamLimit limit;
     /// Reports to other daemons that the limit is still to be part of, and whether it began or ended since the last one.
     int limitReportsDue = 0;
@@ -62,7 +65,8 @@
 
 /// The upstreams of a service, indexed by small ids that stay valid while calls or probes are in flight to the upstream.
 ///
-/// The id of an upstream that is no longer listed is reused once nothing is in flight to it.
+/// The id of an upstream that is no longer listed is reused once nothing is in flight to it. What such an upstream said about its
+/// availability is remembered, in case it is listed again without having restarted.
 class UpstreamSet
 {
 public:
@@ -95,6 +99,11 @@
     Limits::LimitChange observeLimit(UpstreamId id, const Limits::LimitObservation &observation, bool isOwn, Millis now);
     /// Returns the limits to report to other daemons: those that began or ended, and those that answers to this daemon confirmed.
     std::vector<NamedLimit> takeNamedLimits();
+    /// Applies what an answer said about the availability of an upstream. `startedAt` is the start of the upstream for which the request
+    /// was meant; a notice about an earlier start is ignored.
+    AvailabilityChange observeAvailability(UpstreamId id, std::int64_t startedAt, const AvailabilityNotice &notice, Millis now);
+    /// Number of upstreams in the current list that accept no calls from this daemon, because they are leaving or paused.
+    std::size_t unavailableCount(Millis now) const;
     /// Number of upstreams in the current list with a limit in force.
     std::size_t limitedCount(Millis now) const;
     /// Returns nothing if the name is unknown.
@@ -106,7 +115,17 @@
     void recordPeerOutcomes(std::span<const OutcomeCount> outcomes, Millis now);
 
 private:
+    /// Availability of an upstream that is not listed at present.
+    struct RememberedAvailability
+    {
+        std::string upstream;
+        std::int64_t startedAt = 0;
+        UpstreamAvailability availability;
+    };
+
     void add(const UpstreamSpec &spec);
+    /// Returns and forgets what an upstream that was listed before said since that start.
+    UpstreamAvailability takeRemembered(const UpstreamSpec &spec);
     void assignLimitShare(UpstreamEntry &entry, Millis now) const;
     /// Frees the ids of unlisted upstreams that have nothing in flight.
     void releaseUnlisted();
@@ -115,6 +134,8 @@
     std::map<std::string, UpstreamId, std::less<>> m_ids;
     std::vector<UpstreamId> m_freeIds;
     std::size_t m_listedCount = 0;
+    /// Oldest first.
+    std::deque<RememberedAvailability> m_remembered;
     std::shared_ptr<const Limits::LimitPool> m_limitPool;
 };
 
--- a/src/entry/admin.cpp
+++ b/src/entry/admin.cpp
@@ -73,6 +73,12 @@
     addGauge(
         families, "laburnummast_limited_upstreams", "Upstreams with a limit in force.", static_cast<double>(counters.limitedUpstreams));
     addCounter(families, "laburnummast_limits_unreadable_total", "Answers whose limit could not be read.", counters.unreadableLimits);
+    addGauge(families,
+             "laburnummast_unavailable_upstreams",
+             "Upstreams that are leaving or want no calls at present.",
+             static_cast<double>(counters.unavailableUpstreams));
+    addCounter(
+        families, "laburnummast_pauses_unreadable_total", "Refusals whose Retry-After could not be read.", counters.unreadablePauses);
     prometheus::ClientMetric histogram;
     histogram.histogram.sample_count = latencies.count;
     histogram.histogram.sample_sum = latencies.sum.count / 1000;
--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -80,7 +80,9 @@
                         ",upstreams=",
                         dispatcher.upstreamCount(),
                         ",limited=",
-                        dispatcher.limitedUpstreams(now));
+                        dispatcher.limitedUpstreams(now),
+                        ",unavailable=",
+                        dispatcher.unavailableUpstreams(now));
 }
 
 AttemptOutcome outcomeOf(Http::ClientError error)
@@ -386,7 +388,8 @@
 void Traffic::sendProbe(Service &service, const Dispatch::ProbeUpstream &action)
 {
     const auto now = steadyNow();
-    const auto id = service.dispatcher.view(action.upstream)->spec().id;
+    const auto &spec = service.dispatcher.view(action.upstream)->spec();
+    const auto id = spec.id;
     const auto connection = m_connections.acquire(id, now);
     const auto ended = [this, &service, upstream = action.upstream](const Placement::ProbeResult &result) {
         Dispatch::Actions actions;
@@ -401,7 +404,8 @@
     connection->start({.bytes = Http::encode(Platform::probeRequest(service.healthPath, ip)),
                        .timeout = probeTimeout,
                        .matchesRequest = Platform::isResponseToProbe,
-                       .onResult = [this, &service, id, now, connection, ended](const Http::ClientResult &result) {
+                       .onResult = [this, &service, id, connection, ended, sent = SentRequest{id, spec.startedAt, now}](
+                                       const Http::ClientResult &result) {
                            const auto *response = std::get_if<Http::Response>(&result);
                            if (!response) {
                                m_connections.closeIdle(id);
@@ -409,7 +413,7 @@
                                return;
                            }
                            m_connections.release(id, connection);
-                           learnLimit(service, id, *response, now);
+                           learnFromAnswer(service, sent, *response);
                            ended(Platform::decodeProbeResponse(*response, id));
                        }});
 }
@@ -438,14 +442,15 @@
         });
         return;
     }
-    const auto onResult =
-        [this, &service, call = action.call, number = action.attempt, id, now, connection = attempt.connection](Http::ClientResult result) {
-            m_connections.release(id, connection);
-            if (const auto *response = std::get_if<Http::Response>(&result)) {
-                learnLimit(service, id, *response, now);
-            }
-            handleAttemptResult(service, call, number, id, std::move(result));
-        };
+    const SentRequest sent{.upstream = id, .upstreamStartedAt = view->spec().startedAt, .sentAt = now};
+    const auto onResult
+        = [this, &service, call = action.call, number = action.attempt, sent, connection = attempt.connection](Http::ClientResult result) {
+              m_connections.release(sent.upstream, connection);
+              if (const auto *response = std::get_if<Http::Response>(&result)) {
+                  learnFromAnswer(service, sent, *response);
+              }
+              handleAttemptResult(service, call, number, sent.upstream, std::move(result));
+          };
     const auto left = openCall.spec.deadline - now;
     attempt.connection->start(
         {.bytes = Http::encode(Platform::encodeAttempt(openCall.call, id, left)),
@@ -456,18 +461,46 @@
          .onResult = onResult});
 }
 
-void Traffic::learnLimit(Service &service, const std::string &upstream, const Http::Response &response, Millis sentAt)
+void Traffic::learnFromAnswer(Service &service, const SentRequest &sent, const Http::Response &response)
 {
-    const auto limit = Platform::namedLimit(response, upstream);
+    learnLimit(service, sent, response);
+    learnAvailability(service, sent, response);
+}
+
+void Traffic::learnLimit(Service &service, const SentRequest &sent, const Http::Response &response)
+{
+    const auto limit = Platform::namedLimit(response, sent.upstream);
     if (const auto *error = std::get_if<LimitError>(&limit)) {
         if (*error == LimitError::NotARate) {
             ++m_unreadableLimits;
-            m_callLog.write("limit-unreadable", steadyNow(), {{"upstream", upstream}, {"status", Text::concat(response.status)}});
+            m_callLog.write("limit-unreadable", steadyNow(), {{"upstream", sent.upstream}, {"status", Text::concat(response.status)}});
         }
         return;
     }
     const auto perSecond = std::get<std::optional<double>>(limit);
-    applyLimit(service, upstream, {.perSecond = perSecond, .at = perSecond ? steadyNow() : sentAt}, LimitSource::Answer);
+    applyLimit(service, sent.upstream, {.perSecond = perSecond, .at = perSecond ? steadyNow() : sent.sentAt}, LimitSource::Answer);
+}
+
+void Traffic::learnAvailability(Service &service, const SentRequest &sent, const Http::Response &response)
+{
+    const auto now = steadyNow();
+    if (Platform::hasUnreadableRetryAfter(response)) {
+        ++m_unreadablePauses;
+        m_callLog.write("pause-unreadable", now, {{"upstream", sent.upstream}, {"status", Text::concat(response.status)}});
+    }
+    const auto notice = Platform::availabilityNotice(response, sent.upstream);
+    switch (service.dispatcher.observeAvailability(sent.upstream, sent.upstreamStartedAt, notice, now)) {
+    case Placement::AvailabilityChange::None:
+        break;
+    case Placement::AvailabilityChange::Leaving:
+        m_callLog.write("upstream-leaving", now, {{"upstream", sent.upstream}, {"service", service.name}});
+        break;
+    case Placement::AvailabilityChange::Paused:
+        m_callLog.write("upstream-paused",
+                        now,
+                        {{"upstream", sent.upstream}, {"service", service.name}, {"pause-ms", millisText(notice.pause.value_or(0_ms))}});
+        break;
+    }
 }
 
 void Traffic::applyLimit(Service &service, std::string_view upstream, const Limits::LimitObservation &observation, LimitSource source)
@@ -745,9 +778,11 @@
                              .connectionsOpened = connections.opened,
                              .connectionsReused = connections.reused,
                              .suppressedLogLines = m_callLog.suppressedCount(),
-                             .unreadableLimits = m_unreadableLimits};
+                             .unreadableLimits = m_unreadableLimits,
+                             .unreadablePauses = m_unreadablePauses};
     for (const auto &[name, it] : m_services) {
         counters.limitedUpstreams += it->dispatcher.limitedUpstreams(steadyNow());
+        counters.unavailableUpstreams += it->dispatcher.unavailableUpstreams(steadyNow());
         const auto &placed = it->dispatcher.counters();
         counters.placement.calls += placed.calls;
         counters.placement.sent += placed.sent;
@@ -790,6 +825,12 @@
         if (const auto limit = service->second->dispatcher.limitOf(*id, now)) {
             Text::append(text, " limit=", *limit);
         }
+        const auto &availability = service->second->dispatcher.availabilityOf(*id);
+        if (availability.isLeaving()) {
+            Text::append(text, " leaving");
+        } else if (availability.isPaused(now)) {
+            Text::append(text, " paused-ms=", static_cast<std::int64_t>((*availability.acceptsAt(now) - now).count));
+        }
         Text::append(text, "\n");
     }
     return text;
--- a/src/entry/traffic.h
+++ b/src/entry/traffic.h
@@ -68,6 +68,10 @@
     std::uint64_t unreadableLimits = 0;
     /// Upstreams with a limit in force; not a counter.
     std::size_t limitedUpstreams = 0;
+    /// Refusals of upstreams whose `Retry-After` could not be read.
+    std::uint64_t unreadablePauses = 0;
+    /// Listed upstreams that are leaving or want no calls from this daemon at present; not a counter.
+    std::size_t unavailableUpstreams = 0;
     Placement::PlacementCounters placement;
 };
 
@@ -139,6 +143,15 @@
         Peer,
     };
 
+    /// An attempt or a probe.
+    struct SentRequest
+    {
+        std::string upstream;
+        /// Start of the upstream for which the request was meant.
+        std::int64_t upstreamStartedAt = 0;
+        Millis sentAt;
+    };
+
     struct ActiveAttempt
     {
         std::shared_ptr<Http::ClientConnection> connection;
@@ -188,8 +201,10 @@
     void refuse(const Dispatch::RefuseCall &action);
     void finish(const Dispatch::FinishCall &action);
     void cancelAttempt(const Dispatch::CancelAttempt &action);
-    /// Takes the limit that the answer to an attempt or probe names, or that it names none.
-    void learnLimit(Service &service, const std::string &upstream, const Http::Response &response, Millis sentAt);
+    /// Takes what the answer to an attempt or probe says about further calls to its upstream: its limit and its availability.
+    void learnFromAnswer(Service &service, const SentRequest &sent, const Http::Response &response);
+    void learnLimit(Service &service, const SentRequest &sent, const Http::Response &response);
+    void learnAvailability(Service &service, const SentRequest &sent, const Http::Response &response);
     void applyLimit(Service &service, std::string_view upstream, const Limits::LimitObservation &observation, LimitSource source);
     void handleAttemptResult(
         Service &service, Dispatch::CallId id, Dispatch::AttemptNumber number, const std::string &upstream, Http::ClientResult result);
@@ -219,6 +234,7 @@
     mutable std::mt19937_64 m_random;
     std::array<std::uint64_t, callEndCount> m_endCounts{};
     std::uint64_t m_unreadableLimits = 0;
+    std::uint64_t m_unreadablePauses = 0;
 };
 
 }
--- a/src/platform/requests.cpp
+++ b/src/platform/requests.cpp
@@ -31,6 +31,12 @@
 // Calls per second that the upstream accepts from all daemons together, as a decimal number, in each response while that holds.
 constexpr std::string_view limitHeader = "Server-Limit";
 
+// "1" in each response of an upstream that is leaving.
+constexpr std::string_view leavingHeader = "Server-Leaving";
+// In a refusal of an upstream: seconds, with fractions, for which it wants no requests from this daemon.
+constexpr std::string_view retryAfterHeader = "Retry-After";
+
+constexpr int serviceUnavailable = 503;
 constexpr int misdirectedRequest = 421;
 // Statuses from which a caller concludes that its call was not run.
 constexpr std::array<int, 4> notRunStatuses{408, 421, 429, 503};
@@ -95,6 +101,20 @@
     return Placement::LoadReport{.running = numbers[0], .waiting = numbers[1], .slots = numbers[2], .slowness = numbers[3] / 100};
 }
 
+// Whether the response comes from another upstream than the request was meant for.
+bool isFromOtherUpstream(const Http::Response &response, std::string_view upstream)
+{
+    const auto instance = Http::find(response.headers, instanceIdHeader);
+    return response.status == misdirectedRequest || (instance && *instance != upstream);
+}
+
+// Returns nothing if the text is not a number of seconds.
+std::optional<Millis> parseRetryAfter(std::string_view text)
+{
+    const auto seconds = Text::parseNumber(Text::trim(text));
+    return seconds && *seconds >= 0 ? std::optional(1_s * *seconds) : std::nullopt;
+}
+
 Entry::AnswerKind answerKindOf(const Http::Response &response)
 {
     if (Http::find(response.headers, notExecutedHeader)) {
@@ -153,11 +173,9 @@
 
 bool isResponseToCall(const Http::Response &response, std::string_view callId)
 {
-    if (const auto id = Http::find(response.headers, requestIdHeader)) {
-        return *id == callId;
-    }
-    // A success without a request id is the late response to a probe; refusals may lack the id.
-    return response.status >= 300;
+    // Responses to calls repeat the id. One without it answers a probe or an earlier request, maybe for a second time, and says nothing
+    // about whether this call runs.
+    return Http::find(response.headers, requestIdHeader) == callId;
 }
 
 Entry::UpstreamAnswer decodeAnswer(Http::Response response)
@@ -172,8 +190,7 @@
 
 Result<std::optional<double>, Entry::LimitError> namedLimit(const Http::Response &response, std::string_view upstream)
 {
-    const auto instance = Http::find(response.headers, instanceIdHeader);
-    if (response.status == misdirectedRequest || (instance && *instance != upstream)) {
+    if (isFromOtherUpstream(response, upstream)) {
         return Entry::LimitError::NotStated;
     }
     const auto value = Http::find(response.headers, limitHeader);
@@ -190,6 +207,27 @@
     return std::optional(*number);
 }
 
+Placement::AvailabilityNotice availabilityNotice(const Http::Response &response, std::string_view upstream)
+{
+    if (isFromOtherUpstream(response, upstream)) {
+        return {};
+    }
+    Placement::AvailabilityNotice notice;
+    const auto leaving = Http::find(response.headers, leavingHeader);
+    notice.leaving = leaving && Text::trim(*leaving) == "1";
+    const auto retryAfter = Http::find(response.headers, retryAfterHeader);
+    if (response.status == serviceUnavailable && retryAfter) {
+        notice.pause = parseRetryAfter(*retryAfter);
+    }
+    return notice;
+}
+
+bool hasUnreadableRetryAfter(const Http::Response &response)
+{
+    const auto retryAfter = Http::find(response.headers, retryAfterHeader);
+    return response.status == serviceUnavailable && retryAfter && !parseRetryAfter(*retryAfter);
+}
+
 Http::Request probeRequest(std::string_view healthPath, std::string_view host)
 {
     return {.method = "GET", .target = std::string(healthPath), .headers = {{"Host", std::string(host)}}, .body = {}};
@@ -214,10 +252,10 @@
 
 Http::Response notRunResponse(std::string_view callId, Millis retryAfter)
 {
-    auto response = localResponse(callId, 503);
+    auto response = localResponse(callId, serviceUnavailable);
     std::array<char, 32> buf{};
     const int n = std::snprintf(buf.data(), buf.size(), "%.3f", retryAfter.count / 1000);
-    response.headers.push_back({"Retry-After", std::string(buf.data(), static_cast<std::size_t>(n))});
+    response.headers.push_back({std::string(retryAfterHeader), std::string(buf.data(), static_cast<std::size_t>(n))});
     return response;
 }
 
--- a/src/platform/requests.h
+++ b/src/platform/requests.h
@@ -1,6 +1,7 @@
 #ifndef LABURNUMMAST_PLATFORM_REQUESTS_H
 #define LABURNUMMAST_PLATFORM_REQUESTS_H
 
+#include "core/placement/upstreamavailability.h"
 #include "core/result.h"
 #include "entry/call.h"
 
@@ -25,6 +26,11 @@
 /// Calls per second that `upstream` accepts from all daemons together according to its response; empty if it accepts any rate.
 Result<std::optional<double>, Entry::LimitError> namedLimit(const Http::Response &response, std::string_view upstream);
 
+/// What `upstream` says in its response about further calls from this daemon; empty if another one sent it.
+Placement::AvailabilityNotice availabilityNotice(const Http::Response &response, std::string_view upstream);
+/// Whether a refusal has a `Retry-After` that is no number of seconds.
+bool hasUnreadableRetryAfter(const Http::Response &response);
+
 /// Request that probes the health and load of an upstream.
 Http::Request probeRequest(std::string_view healthPath, std::string_view host);
 /// Whether a response on an upstream's connection can be the one to a probe.
--- a/tests/cli/logtrail.cpp
+++ b/tests/cli/logtrail.cpp
@@ -56,6 +56,21 @@
     CHECK(answered[0].find("upstream=u2") != std::string::npos);
 }
 
+TEST_CASE("The log trail of a refused call names the upstreams of its service that are leaving or wanted no calls")
+{
+    const std::vector<std::string> lines{
+        logLine(1, "host-1", "upstream-paused upstream=u1 service=s pause-ms=900"),
+        logLine(2, "host-1", "upstream-paused upstream=u1 service=s pause-ms=1500"),
+        logLine(2, "host-1", "upstream-leaving upstream=u2 service=s"),
+        logLine(3, "host-1", "upstream-leaving upstream=u3 service=other"),
+        logLine(4, "host-1", "call id=c1 service=s end=not-run status=503 upstream=\"\""),
+    };
+    const auto trail = collectLogTrail("c1", lines);
+    REQUIRE(trail.size() == 3);
+    CHECK(trail[0].find("pause-ms=1500") != std::string::npos);
+    CHECK(trail[1].find("upstream-leaving upstream=u2") != std::string::npos);
+}
+
 TEST_CASE("The log trail of a call that no line names is empty")
 {
     CHECK(collectLogTrail("c2", logLines).empty());
--- a/tests/entry/wholepath.cpp
+++ b/tests/entry/wholepath.cpp
@@ -577,3 +577,61 @@
     CHECK(system.call(1, "/t/x").status == 503);
     CHECK(system.executedCalls() == executed);
 }
+
+TEST_CASE("An upstream that says that it is leaving gets no further call or probe, though the store lists it as ready")
+{
+    System system(2);
+    system.publishAll();
+    system.startNode(0);
+    REQUIRE(system.ready(0));
+    auto &leaving = *system.upstreams[0];
+    leaving.leaving = true;
+    REQUIRE(system.runUntil([&] {
+        system.call(0, "/r/x");
+        return !leaving.executed.empty() || leaving.probes > 0;
+    }));
+    // Its record is written once more, and then lapses for a while.
+    system.store().put(upstreamsTopic, "w0", leaving.registrationRecord("s"));
+    system.store().remove(upstreamsTopic, "w0");
+    CHECK(system.runUntil([&] { return system.node(0).controlState().upstreamCount == 1; }));
+    system.store().put(upstreamsTopic, "w0", leaving.registrationRecord("s"));
+    CHECK(system.runUntil([&] { return system.node(0).controlState().upstreamCount == 2; }));
+    const auto requests = static_cast<int>(leaving.executed.size()) + leaving.probes;
+    for (int i = 0; i < 20; ++i) {
+        CHECK(system.call(0, "/r/x").status == 200);
+    }
+    CHECK(static_cast<int>(leaving.executed.size()) + leaving.probes == requests);
+}
+
+TEST_CASE("Upstreams that refuse calls for some time get none until then, and callers are told to return no sooner")
+{
+    System system(2);
+    system.publishAll();
+    system.startNode(0);
+    REQUIRE(system.ready(0));
+    for (const auto &it : system.upstreams) {
+        it->mode = FakeUpstream::Mode::Shedding;
+        it->retryAfter = "30.5";
+    }
+    REQUIRE(system.runUntil([&] {
+        system.call(0, "/r/x");
+        return system.upstreams[0]->refusals > 0 && system.upstreams[1]->refusals > 0;
+    }));
+    for (const auto &it : system.upstreams) {
+        it->mode = FakeUpstream::Mode::Normal;
+    }
+    const auto requests = [&] {
+        int n = 0;
+        for (const auto &it : system.upstreams) {
+            n += it->refusals + it->probes + static_cast<int>(it->executed.size());
+        }
+        return n;
+    };
+    const auto requestsBefore = requests();
+    const auto answer = system.call(0, "/r/x");
+    CHECK(answer.status == 503);
+    const auto retryAfter = Text::parseNumber(Http::find(answer.headers, "Retry-After").value_or(""));
+    REQUIRE(retryAfter);
+    CHECK(*retryAfter > 1);
+    CHECK(requests() == requestsBefore);
+}
--- a/tests/platform/fakeupstream.h
+++ b/tests/platform/fakeupstream.h
@@ -69,9 +69,15 @@
     Mode mode = Mode::Normal;
     /// Limit that its answers to calls name, in calls per second; none if empty.
     std::string limit;
+    /// States in all its answers that it is leaving.
+    bool leaving = false;
+    /// `Retry-After` of its refusals; none if empty.
+    std::string retryAfter;
     /// Requests executed so far, including those that were not answered.
     std::vector<Http::Request> executed;
     int probes = 0;
+    /// Requests refused as not executed.
+    int refusals = 0;
     /// Requests whose client closed the connection before the response.
     int abandonedRequests = 0;
 
@@ -82,7 +88,11 @@
         const auto id = Http::find(request.headers, "Laburnummast-Request-Id");
         if (!id) {
             ++probes;
-            responder.send({.status = 200, .headers = {load, {"Laburnummast-Instance-Id", m_id}}, .body = {}, .keepAlive = true});
+            Http::Headers headers{load, {"Laburnummast-Instance-Id", m_id}};
+            if (leaving) {
+                headers.push_back({"Server-Leaving", "1"});
+            }
+            responder.send({.status = 200, .headers = headers, .body = {}, .keepAlive = true});
             return;
         }
         if (Http::find(request.headers, "Laburnummast-Expected-Instance") != m_id) {
@@ -90,13 +100,20 @@
             return;
         }
         Http::Headers headers{load, {"Laburnummast-Request-Id", std::string(*id)}};
+        if (leaving) {
+            headers.push_back({"Server-Leaving", "1"});
+        }
         if (!limit.empty()) {
             headers.push_back({"Server-Limit", limit});
         }
         const auto body = Text::concat(m_id, " ", request.method, " ", request.target, " ", request.body);
         switch (mode) {
         case Mode::Shedding:
+            ++refusals;
             headers.push_back({"Laburnummast-Not-Executed", "1"});
+            if (!retryAfter.empty()) {
+                headers.push_back({"Retry-After", retryAfter});
+            }
             responder.send({.status = 503, .headers = headers, .body = {}, .keepAlive = true});
             return;
         case Mode::DroppingConnections:
--- a/tests/platform/requests.cpp
+++ b/tests/platform/requests.cpp
@@ -143,7 +143,9 @@
     CHECK(isResponseToCall(response(200, {{"Laburnummast-Request-Id", "9c41"}}), "9c41"));
     CHECK_FALSE(isResponseToCall(response(200, {{"Laburnummast-Request-Id", "other"}}), "9c41"));
     CHECK_FALSE(isResponseToCall(response(200, {}), "9c41"));
-    CHECK(isResponseToCall(response(503, {}), "9c41"));
+    // A refusal without an id may be an earlier one, sent once more.
+    CHECK_FALSE(isResponseToCall(response(503, {{"Laburnummast-Not-Executed", "1"}}), "9c41"));
+    CHECK_FALSE(isResponseToCall(response(503, {}), "9c41"));
     CHECK_FALSE(isResponseToProbe(response(200, {{"Laburnummast-Request-Id", "9c41"}})));
 }
 
@@ -183,3 +185,33 @@
         CHECK(std::get<Entry::LimitError>(limitIn({{"Server-Limit", value}})) == Entry::LimitError::NotARate);
     }
 }
+
+TEST_CASE("An answer tells whether its upstream is leaving and for how long it wants no calls")
+{
+    const auto noticeIn = [](int status, Http::Headers headers) {
+        return availabilityNotice({.status = status, .headers = std::move(headers), .body = {}}, "u1");
+    };
+    CHECK(noticeIn(200, {{"Server-Leaving", "1"}}).leaving);
+    CHECK(noticeIn(503, {{"server-leaving", " 1 "}, {"Laburnummast-Not-Executed", "1"}}).leaving);
+    CHECK(noticeIn(200, {{"Server-Leaving", "1"}, {"Laburnummast-Instance-Id", "u1"}}).leaving);
+    CHECK(noticeIn(200, {{"Server-Leaving", "0"}}).empty());
+    CHECK(noticeIn(200, {}).empty());
+    CHECK(noticeIn(503, {{"Retry-After", "1.25"}}).pause == 1250_ms);
+    CHECK(noticeIn(503, {{"retry-after", " 2 "}, {"Laburnummast-Not-Executed", "1"}}).pause == 2_s);
+    CHECK(noticeIn(200, {{"Retry-After", "2"}}).empty());
+    // Another upstream has taken over the address.
+    CHECK(noticeIn(503, {{"Server-Leaving", "1"}, {"Retry-After", "2"}, {"Laburnummast-Instance-Id", "u2"}}).empty());
+    CHECK(noticeIn(421, {{"Server-Leaving", "1"}}).empty());
+}
+
+TEST_CASE("A delay that is no number of seconds is ignored and recognized as unreadable")
+{
+    for (const auto *value : {"", "soon", "-1", "nan", "inf", "1e999", "Fri, 31 Dec 1999 23:59:59 GMT"}) {
+        CAPTURE(value);
+        const Http::Response refusal{.status = 503, .headers = {{"Retry-After", value}}, .body = {}};
+        CHECK(availabilityNotice(refusal, "u1").empty());
+        CHECK(hasUnreadableRetryAfter(refusal));
+    }
+    CHECK_FALSE(hasUnreadableRetryAfter({.status = 503, .headers = {{"Retry-After", "0.5"}}, .body = {}}));
+    CHECK_FALSE(hasUnreadableRetryAfter({.status = 503, .headers = {}, .body = {}}));
+}
