Records with an address that cannot be connected to, or with numbers beyond all bounds, are skipped

Cause: an entry with port 0 or an incomplete IP was listed as an upstream, and 'inf' or 'nan' was read as a number in durations and load reports.

Change: the address of a record must be an IPv4 address with a port from 1 to 65535; numbers in text must be finite.

--- a/src/core/text.cpp
+++ b/src/core/text.cpp
@@ -5,6 +5,7 @@
 #include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_join.h>
+#include <cmath>
 
 namespace Laburnummast::Text
 {
@@ -18,7 +19,7 @@
 std::optional<double> parseNumber(std::string_view text)
 {
     double number = 0;
-    return absl::SimpleAtod(toAbsl(text), &number) ? std::optional(number) : std::nullopt;
+    return absl::SimpleAtod(toAbsl(text), &number) && std::isfinite(number) ? std::optional(number) : std::nullopt;
 }
 
 std::string_view trim(std::string_view text)
--- a/src/core/text.h
+++ b/src/core/text.h
@@ -47,7 +47,7 @@
     return absl::StrCat(absl::Hex(number));
 }
 
-/// Parse the whole text as a number; empty if it is not one.
+/// Parse the whole text as a number; empty if it is not a finite one.
 std::optional<std::int64_t> parseInteger(std::string_view text);
 std::optional<double> parseNumber(std::string_view text);
 
--- a/src/platform/records.cpp
+++ b/src/platform/records.cpp
@@ -3,6 +3,7 @@
 #include "core/config/address.h"
 #include "platform/settings.h"
 
+#include <boost/asio/ip/address_v4.hpp>
 #include <limits>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -89,6 +90,15 @@
 constexpr double maxSlots = 1e6;
 constexpr double maxCount = 1e9;
 
+// An address that can be connected to; empty if the text is none.
+std::optional<Membership::Address> decodeAddress(std::string_view text)
+{
+    auto address = Config::parseAddress(text);
+    boost::system::error_code ec;
+    const bool usable = address && address->port > 0 && boost::asio::ip::make_address_v4(address->ip, ec).to_uint() != 0 && !ec;
+    return usable ? address : std::nullopt;
+}
+
 Result<Routes::Route, RecordError> decodeRoute(const std::string &name, const Json &object)
 {
     if (!object.is_object()) {
@@ -210,7 +220,7 @@
     Fleet::UpstreamRecord record;
     record.id = key;
     record.service = fields.text("service");
-    const auto address = Config::parseAddress(fields.text("address"));
+    const auto address = decodeAddress(fields.text("address"));
     // The platform calls a failure domain a zone.
     record.domain = fields.text("zone");
     record.slots = static_cast<int>(fields.number("slots", 1, maxSlots));
--- a/tests/platform/records.cpp
+++ b/tests/platform/records.cpp
@@ -1,7 +1,10 @@
 #include "platform/records.h"
 
+#include "core/text.h"
+
 #include <doctest/doctest.h>
 #include <random>
+#include <utility>
 
 using namespace Laburnummast;
 using namespace Laburnummast::Platform;
@@ -61,6 +64,21 @@
     CHECK(errorOf(replaced(upstreamRecord, "\"slots\":3", "\"slots\":\"3\"")) == RecordError::FieldInvalid);
     CHECK(errorOf(replaced(upstreamRecord, "\"slots\":3", "\"slots\":0")) == RecordError::FieldInvalid);
     CHECK(errorOf(replaced(upstreamRecord, "10.128.0.9:8080", "nowhere")) == RecordError::FieldInvalid);
+    for (const auto *address :
+         {"10.128.0.9:65536", "10.128.0.9:0", "10.128.0.9:-1", "10.128.0.9:99999999999999999999", "10.128.0:8080", ":"}) {
+        CAPTURE(address);
+        CHECK(errorOf(replaced(upstreamRecord, "10.128.0.9:8080", address)) == RecordError::FieldInvalid);
+    }
+    for (const auto *number : {"1e400", "-1e400", "1e300", "99999999999999999999999999999999"}) {
+        CAPTURE(number);
+        CHECK(std::holds_alternative<RecordError>(
+            decodeUpstream("i-1", replaced(upstreamRecord, "\"slots\":3", Text::concat("\"slots\":", number)))));
+        CHECK(std::holds_alternative<RecordError>(decodeUpstream("i-1", replaced(upstreamRecord, "1700000000123", number))));
+    }
+    for (const auto *duration : {"nans", "infs", "1e999s", "-1s"}) {
+        CAPTURE(duration);
+        CHECK(errorOf(replaced(upstreamRecord, "1500ms", duration)) == RecordError::FieldInvalid);
+    }
     CHECK(errorOf(replaced(upstreamRecord, "\"ready\"", "\"sleeping\"")) == RecordError::UnknownWord);
 }
 
@@ -111,3 +129,24 @@
     }
     CHECK(true);
 }
+
+TEST_CASE("A record that is nested a hundred thousand levels deep is unreadable, or its unknown field is ignored")
+{
+    constexpr std::size_t depth = 100000;
+    for (const auto &[open, close] : {std::pair{std::string("["), std::string("]")}, std::pair{std::string("{\"a\":"), std::string("}")}}) {
+        std::string nested;
+        for (std::size_t i = 0; i < depth; ++i) {
+            nested += open;
+        }
+        const auto unfinished = nested;
+        nested += "1";
+        for (std::size_t i = 0; i < depth; ++i) {
+            nested += close;
+        }
+        CHECK(std::holds_alternative<RecordError>(decodeUpstream("i-1", nested)));
+        CHECK(std::holds_alternative<RecordError>(decodeUpstream("i-1", unfinished)));
+        CHECK(std::holds_alternative<Fleet::UpstreamRecord>(decodeUpstream("i-1", replaced(upstreamRecord, "{\"x\":1}", nested))));
+        CHECK(std::holds_alternative<RecordError>(decodeUpstream("i-1", replaced(upstreamRecord, "\"slots\":3", "\"slots\":" + nested))));
+        CHECK(std::holds_alternative<RecordError>(decodeRoutes(replaced(routesRecord, "\"s1\":{", "\"s1\":" + unfinished))));
+    }
+}
