At the start of a fleet only its seeds read the store; views and reports cost less in a large fleet

Cause: a daemon without records read the whole list from the store at once, so 471 daemons that start together made about 7,000 calls. Each change of a member copied all upstreams into a new view, worked out the ranks over all members every 100 ms, and reports of outcomes went to 24 daemons of all failure domains.

Change: core/fleet/firstread decides when a daemon without records reads: the seeds one after the other, others only without a source or if its records do not come in time. A daemon does not displace a reader that is in contact. Views share the upstreams until they change, member changes are joined for 200 ms, member lists and ranks are built once for each change, and reports go to 10 daemons of the own failure domain and 3 others.

--- a/src/core/fleet/readerchoice.cpp
+++ b/src/core/fleet/readerchoice.cpp
@@ -16,24 +16,20 @@
 }
 
 bool shouldRead(
-    std::size_t rank, Millis contactAge, bool isReading, const std::optional<Millis> &higherRankedSilence, const ReaderTimeouts &timeouts)
+    std::size_t rank, Millis contactAge, bool isReading, const std::optional<Millis> &readerSilence, const ReaderTimeouts &timeouts)
 {
     const auto freshLimit = timeouts.longPollWait + timeouts.staleAfter;
-    const bool higherRankedReads = higherRankedSilence && *higherRankedSilence <= timeouts.lostAfter;
+    const bool otherReads = readerSilence && *readerSilence <= timeouts.lostAfter;
     if (isReading) {
-        return !(higherRankedReads && contactAge <= freshLimit);
-    }
-    if (rank == 0) {
-        return true;
+        return !(otherReads && contactAge <= freshLimit);
     }
     const auto turnDelay = timeouts.rankDelay * static_cast<double>(rank);
     // While a reader is alive, contact may be as old as a read that the store holds open; without a reader there is no such read.
-    if (higherRankedReads) {
+    if (otherReads) {
         return contactAge > freshLimit + turnDelay;
     }
     // The last contact of a lost reader may be old already. If the delays were counted from it, all daemons would start at once.
-    const bool turnReached
-        = higherRankedSilence ? *higherRankedSilence > timeouts.lostAfter + turnDelay : contactAge > timeouts.staleAfter + turnDelay;
+    const bool turnReached = readerSilence ? *readerSilence > timeouts.lostAfter + turnDelay : contactAge > timeouts.staleAfter + turnDelay;
     return turnReached && contactAge > timeouts.staleAfter;
 }
 
--- a/src/core/fleet/readerchoice.h
+++ b/src/core/fleet/readerchoice.h
@@ -35,9 +35,10 @@
 /// rank starts reading, so that a reader which cannot reach the store or its peers is replaced within a second or two.
 /// `isReading`: whether this daemon reads the topic already.
 /// `contactAge`: time since the last contact with the store, either direct or through a peer.
-/// `higherRankedSilence`: time since a daemon of higher rank reported that it reads; empty if none ever did.
+/// `readerSilence`: time since another daemon reported that it reads; empty if none ever did. If this daemon reads itself, only those of
+/// higher rank count, as it ends reading in favour of them.
 bool shouldRead(
-    std::size_t rank, Millis contactAge, bool isReading, const std::optional<Millis> &higherRankedSilence, const ReaderTimeouts &timeouts);
+    std::size_t rank, Millis contactAge, bool isReading, const std::optional<Millis> &readerSilence, const ReaderTimeouts &timeouts);
 
 }
 
--- a/src/core/membership/membership.cpp
+++ b/src/core/membership/membership.cpp
@@ -49,28 +49,23 @@
     return it == m_members.end() ? nullptr : &it->second.member;
 }
 
-std::vector<Member> Membership::others() const
+const Membership::MemberLists &Membership::lists() const
 {
-    std::vector<Member> members;
-    for (const auto &[host, it] : m_members) {
-        members.push_back(it.member);
+    if (m_lists.revision == m_revision) {
+        return m_lists;
     }
-    return members;
-}
-
-std::vector<Member> Membership::serving() const
-{
-    std::vector<Member> members;
+    m_lists = {.revision = m_revision, .others = {}, .serving = {}};
     if (m_self.state == MemberState::Alive) {
-        members.push_back(m_self);
+        m_lists.serving.push_back(m_self);
     }
     for (const auto &[host, it] : m_members) {
+        m_lists.others.push_back(it.member);
         if (it.member.state == MemberState::Alive || it.member.state == MemberState::Suspect) {
-            members.push_back(it.member);
+            m_lists.serving.push_back(it.member);
         }
     }
-    std::sort(members.begin(), members.end(), [](const Member &a, const Member &b) { return a.info.host < b.info.host; });
-    return members;
+    std::sort(m_lists.serving.begin(), m_lists.serving.end(), [](const Member &a, const Member &b) { return a.info.host < b.info.host; });
+    return m_lists;
 }
 
 void Membership::addSeeds(std::span<const Address> seeds)
@@ -137,6 +132,7 @@
             return;
         }
         m_members[update.info.host] = {.member = update, .changedAt = now};
+        ++m_revision;
         actions.emplace_back(MemberChanged{.member = update, .previousState = std::nullopt});
         return;
     }
@@ -159,6 +155,7 @@
         m_falseDeaths += refuted ? 1 : 0;
     }
     entry = {.member = merged, .changedAt = newerState ? now : entry.changedAt};
+    ++m_revision;
     actions.emplace_back(MemberChanged{.member = merged, .previousState = previousState});
 }
 
@@ -168,6 +165,7 @@
     const bool overridesSelf = update.state > m_self.state && update.incarnation >= m_self.incarnation;
     if (overridesSelf || update.incarnation > m_self.incarnation) {
         m_self.incarnation = update.incarnation + 1;
+        ++m_revision;
         m_selfTransmissions = 0;
     }
 }
@@ -176,6 +174,7 @@
 {
     const auto previousState = entry.member.state;
     entry.member.state = state;
+    ++m_revision;
     entry.changedAt = now;
     entry.transmissions = 0;
     actions.emplace_back(MemberChanged{.member = entry.member, .previousState = previousState});
@@ -196,16 +195,15 @@
             pending.push_back(&it);
         }
     }
-    std::sort(
-        pending.begin(), pending.end(), [](const MemberEntry *a, const MemberEntry *b) { return a->transmissions < b->transmissions; });
+    const auto pendingEnd = pending.begin() + static_cast<std::ptrdiff_t>(std::min(pending.size(), updatesPerMessage));
+    std::partial_sort(pending.begin(), pendingEnd, pending.end(), [](const MemberEntry *a, const MemberEntry *b) {
+        return a->transmissions < b->transmissions;
+    });
     std::vector<Member> updates;
-    for (auto *it : pending) {
-        if (updates.size() == updatesPerMessage) {
-            return updates;
-        }
+    std::for_each(pending.begin(), pendingEnd, [&](MemberEntry *it) {
         ++it->transmissions;
         updates.push_back(it->member);
-    }
+    });
     const std::size_t rotationCount = std::min<std::size_t>(updatesPerMessage - updates.size(), 2);
     auto it = m_members.upper_bound(m_rotationCursor);
     for (std::size_t i = 0; i < std::min(rotationCount, m_members.size()); ++i) {
@@ -343,6 +341,7 @@
         }
         if (isDeadOrLeft(state) && elapsed >= m_options.tombstoneLifetime) {
             it = m_members.erase(it);
+            ++m_revision;
         } else {
             ++it;
         }
@@ -401,18 +400,21 @@
 void Membership::setConfig(const ConfigPosition &config, MembershipActions &actions)
 {
     m_self.config = config;
+    ++m_revision;
     gossip(actions);
 }
 
 void Membership::leave(MembershipActions &actions)
 {
     m_self.state = MemberState::Leaving;
+    ++m_revision;
     gossip(actions);
 }
 
 void Membership::announceLeft(MembershipActions &actions)
 {
     m_self.state = MemberState::Left;
+    ++m_revision;
     for (const auto &[host, it] : m_members) {
         if (!isDeadOrLeft(it.member.state)) {
             send(it.member.info.peer, MessageKind::Gossip, 0, {}, actions);
--- a/src/core/membership/membership.h
+++ b/src/core/membership/membership.h
@@ -81,10 +81,21 @@
     }
     /// Returns the member on `host`, this one included; null if it is not known.
     const Member *find(std::string_view host) const;
-    /// All known members except this one, dead and left ones included.
-    std::vector<Member> others() const;
-    /// Alive and suspected members, this one included while it is alive, sorted by host.
-    std::vector<Member> serving() const;
+    /// All known members except this one, dead and left ones included. Valid until the next change of a member.
+    const std::vector<Member> &others() const
+    {
+        return lists().others;
+    }
+    /// Alive and suspected members, this one included while it is alive, sorted by host. Valid until the next change of a member.
+    const std::vector<Member> &serving() const
+    {
+        return lists().serving;
+    }
+    /// Number that rises with each change of a member, this one included.
+    std::uint64_t revision() const
+    {
+        return m_revision;
+    }
     /// How often a member that was declared dead has refuted it.
     std::uint64_t falseDeaths() const
     {
@@ -101,6 +112,14 @@
         int transmissions = 0;
     };
 
+    /// Lists of members as of one revision.
+    struct MemberLists
+    {
+        std::uint64_t revision = 0;
+        std::vector<Member> others;
+        std::vector<Member> serving;
+    };
+
     /// The outstanding probe.
     struct Probe
     {
@@ -116,6 +135,7 @@
         std::uint64_t sequence = 0;
     };
 
+    const MemberLists &lists() const;
     void mergeUpdate(const Member &update, Millis now, MembershipActions &actions);
     void refuteUpdate(const Member &update);
     void setState(MemberEntry &entry, MemberState state, Millis now, MembershipActions &actions);
@@ -136,6 +156,9 @@
     MembershipOptions m_options;
     Member m_self;
     std::map<std::string, MemberEntry, std::less<>> m_members;
+    std::uint64_t m_revision = 1;
+    /// Built when they are first wanted after a change.
+    mutable MemberLists m_lists;
     std::vector<Address> m_seeds;
     std::vector<std::string> m_probeOrder;
     std::optional<Probe> m_probe;
--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -1,6 +1,7 @@
 #include "entry/control.h"
 
 #include "core/config/address.h"
+#include "core/routing/rendezvous.h"
 #include "core/text.h"
 #include "platform/records.h"
 #include "platform/storeprotocol.h"
@@ -31,6 +32,8 @@
 constexpr Millis failureReportInterval = 100_ms;
 // The store counts as unreachable after this time without contact, which is longer than the change to another reader takes.
 constexpr Millis unreachableAfter = 3_s;
+// Between two views of which the second differs only in the members: at the start of a large fleet they change all the time.
+constexpr Millis memberViewInterval = 200_ms;
 // Between two requests for routes that only a peer has in force.
 constexpr Millis versionFetchInterval = 500_ms;
 
@@ -39,6 +42,23 @@
     return {.ip = report.ip, .port = report.recordsPort};
 }
 
+std::string_view nameOf(Topic topic)
+{
+    return topic == Topic::Routes ? Platform::routesTopic() : Platform::upstreamsTopic();
+}
+
+Fleet::FirstReadOptions firstReadOptions(const NodeSettings &settings)
+{
+    Fleet::FirstReadOptions options{.seedIndex = std::nullopt, .catchUp = settings.bounds.catchUp};
+    const auto own = std::find_if(settings.seeds.begin(), settings.seeds.end(), [&](const Address &it) { return it.ip == settings.ip; });
+    if (own != settings.seeds.end()) {
+        options.seedIndex = static_cast<std::size_t>(own - settings.seeds.begin());
+    }
+    // A fixed number for each host: all daemons differ, and a test repeats exactly.
+    options.spread = static_cast<double>(Routing::rendezvousScore("first-read", settings.host)) / 0x1p64;
+    return options;
+}
+
 std::string textOf(std::int64_t number)
 {
     return Text::concat(number);
@@ -53,6 +73,7 @@
     , m_topics{std::make_unique<FollowedTopic>([this](const Feed::KeyedRecord &it) { applyRoutesRecord(it); }, nullptr),
                std::make_unique<FollowedTopic>([this](const Feed::KeyedRecord &it) { applyUpstreamRecord(it); },
                                                [this] { m_upstreams.markStoreRestored(Process::steadyNow()); })}
+    , m_firstRead(firstReadOptions(settings))
     , m_peers(loop,
               settings,
               {.onMember = [this](const Membership::MemberChanged &it) { handleMemberChange(it); },
@@ -155,34 +176,47 @@
     }
 }
 
-std::vector<std::string> Control::servingHosts() const
+void Control::updateRanks()
 {
-    std::vector<std::string> names;
-    for (const auto &it : m_peers.members().serving()) {
-        names.push_back(it.info.host);
+    const auto &members = m_peers.members();
+    if (m_rankedRevision == members.revision()) {
+        return;
     }
-    return names;
+    m_rankedRevision = members.revision();
+    std::vector<std::string> hosts;
+    hosts.reserve(members.serving().size());
+    for (const auto &it : members.serving()) {
+        hosts.push_back(it.info.host);
+    }
+    for (const auto topic : {Topic::Routes, Topic::Upstreams}) {
+        followedTopic(topic).rank = Fleet::readerRank(nameOf(topic), hosts, m_settings.host);
+    }
+}
+
+bool Control::shouldRead(const FollowedTopic &followed, Millis now) const
+{
+    const auto silenceOf = [&](const std::optional<Millis> &at) { return at ? std::optional(now - *at) : std::nullopt; };
+    const bool isReading = followed.follower->active();
+    if (!followed.feed.hasSnapshot()) {
+        return isReading || Fleet::shouldReadFirst(m_firstRead, now - m_startedAt, silenceOf(followed.lastSourceReportAt));
+    }
+    const auto contactAge = now - followed.lastContactAt.value_or(followed.firstRecordsAt.value_or(m_startedAt));
+    const auto readerSilence = silenceOf(isReading ? followed.lastHigherRankedReportAt : followed.lastReaderReportAt);
+    return Fleet::shouldRead(followed.rank, contactAge, isReading, readerSilence, m_readerTimeouts);
 }
 
 void Control::startOrEndReading(Millis now)
 {
-    const auto names = servingHosts();
+    updateRanks();
     for (const auto topic : {Topic::Routes, Topic::Upstreams}) {
         auto &followed = followedTopic(topic);
-        const auto name = topic == Topic::Routes ? Platform::routesTopic() : Platform::upstreamsTopic();
-        const auto age = now - followed.lastContactAt.value_or(m_startedAt);
-        const auto higherRankedSilence
-            = followed.lastHigherRankedReportAt ? std::optional(now - *followed.lastHigherRankedReportAt) : std::nullopt;
-        const auto rank = Fleet::readerRank(name, names, m_settings.host);
-        const bool active = followed.follower->active();
-        // A daemon without a snapshot reads at once: after a restart of all daemons no other one has a snapshot either.
-        const bool shouldRead = !followed.feed.hasSnapshot() || Fleet::shouldRead(rank, age, active, higherRankedSilence, m_readerTimeouts);
-        if (shouldRead != active) {
-            logInfo(shouldRead ? "store-reading" : "store-reading-ended",
-                    {{"topic", std::string(name)},
-                     {"place", textOf(static_cast<std::int64_t>(rank))},
-                     {"age-ms", textOf(static_cast<std::int64_t>(age.count))}});
-            followed.follower->setActive(shouldRead);
+        const bool wanted = shouldRead(followed, now);
+        if (wanted != followed.follower->active()) {
+            logInfo(wanted ? "store-reading" : "store-reading-ended",
+                    {{"topic", std::string(nameOf(topic))},
+                     {"place", textOf(static_cast<std::int64_t>(followed.rank))},
+                     {"age-ms", textOf(static_cast<std::int64_t>((now - followed.lastContactAt.value_or(m_startedAt)).count))}});
+            followed.follower->setActive(wanted);
             // Send a report at once, so that the daemon of the next rank gets it before it would start reading itself.
             m_lastReportAt = Millis{-1e12};
         }
@@ -198,9 +232,12 @@
     detectUnreachableStore(now);
     startOrEndReading(now);
     if (m_upstreams.applyDeferredRemovals(now)) {
-        scheduleViewUpdate();
+        scheduleUpstreamUpdate();
     }
     if (m_upstreams.applyHeldRecords(now)) {
+        scheduleUpstreamUpdate();
+    }
+    if (m_membersChanged && now - m_lastViewAt >= memberViewInterval) {
         scheduleViewUpdate();
     }
     // The reports of a reader must reach every daemon; for other reports some daemons suffice.
@@ -304,11 +341,16 @@
                 m_peers.fetchRecords(topic, {}, recordsAddressOf(report));
             }
         }
-        const auto name = topic == Topic::Routes ? Platform::routesTopic() : Platform::upstreamsTopic();
-        // Rank 1 after a single other daemon means that the peer ranks higher.
-        const std::array<std::string, 1> peerHost{report.host};
-        if (peerPosition.isReading && Fleet::readerRank(name, peerHost, m_settings.host) == 1) {
-            followed.lastHigherRankedReportAt = now;
+        if (peerPosition.hasSnapshot) {
+            followed.lastSourceReportAt = now;
+        }
+        if (peerPosition.isReading) {
+            followed.lastReaderReportAt = now;
+            // Rank 1 after a single other daemon means that the peer ranks higher.
+            const std::array<std::string, 1> peerHost{report.host};
+            if (Fleet::readerRank(nameOf(topic), peerHost, m_settings.host) == 1) {
+                followed.lastHigherRankedReportAt = now;
+            }
         }
     }
     if (report.routesVersion > m_reportedRoutesVersion) {
@@ -339,7 +381,11 @@
 
 void Control::applyPeerRecords(Topic topic, const Feed::FeedDelta &delta)
 {
-    const auto n = followedTopic(topic).feed.applyDelta(delta);
+    auto &followed = followedTopic(topic);
+    const auto n = followed.feed.applyDelta(delta);
+    if (!followed.firstRecordsAt) {
+        followed.firstRecordsAt = Process::steadyNow();
+    }
     logInfo("records-from-peer",
             {{"topic", textOf(static_cast<std::int64_t>(topic))},
              {"records", textOf(static_cast<std::int64_t>(n))},
@@ -347,7 +393,7 @@
              {"era", textOf(delta.era)}});
     if (topic == Topic::Routes) {
         // At the same position the feed ignores the record, but the peer may have a later version in force than the store's copy.
-        const auto *known = followedTopic(topic).feed.find(Platform::routesKey());
+        const auto *known = followed.feed.find(Platform::routesKey());
         for (const auto &it : delta.records) {
             if (it.key == Platform::routesKey() && known && *known != it.value) {
                 applyRoutesRecord(it);
@@ -389,6 +435,7 @@
     if (!record.value) {
         logInfo("upstream-removed", {{"upstream", record.key}, {"offset", textOf(record.offset)}});
         m_upstreams.remove(record.key, now);
+        m_viewedUpstreams.reset();
         return;
     }
     const auto decoded = Platform::decodeUpstream(record.key, *record.value);
@@ -397,6 +444,7 @@
         logWarning("upstream-unreadable",
                    {{"upstream", record.key}, {"offset", textOf(record.offset)}, {"error", std::string(Platform::nameOf(*error))}});
         m_upstreams.remove(record.key, now);
+        m_viewedUpstreams.reset();
         return;
     }
     const auto &upstream = std::get<Fleet::UpstreamRecord>(decoded);
@@ -406,6 +454,7 @@
              {"state", upstream.draining ? "draining" : "ready"},
              {"offset", textOf(record.offset)}});
     m_upstreams.put(upstream, now);
+    m_viewedUpstreams.reset();
 }
 
 void Control::handleMemberChange(const Membership::MemberChanged &change)
@@ -413,7 +462,7 @@
     if (!change.previousState || *change.previousState != change.member.state) {
         logInfo("member", {{"host", change.member.info.host}, {"state", std::string(Membership::nameOf(change.member.state))}});
     }
-    scheduleViewUpdate();
+    m_membersChanged = true;
 }
 
 bool Control::ready() const
@@ -442,6 +491,23 @@
     });
 }
 
+void Control::scheduleUpstreamUpdate()
+{
+    m_viewedUpstreams.reset();
+    scheduleViewUpdate();
+}
+
+std::shared_ptr<const std::vector<Fleet::KnownUpstream>> Control::listedUpstreams() const
+{
+    auto upstreams = std::make_shared<std::vector<Fleet::KnownUpstream>>();
+    for (const auto &[id, it] : m_upstreams.upstreams()) {
+        if (!it.record.draining) {
+            upstreams->push_back(it);
+        }
+    }
+    return upstreams;
+}
+
 void Control::updateView()
 {
     if (m_stopped) {
@@ -451,16 +517,17 @@
     if (m_peers.members().self().config.offset != routesVersion) {
         m_peers.announceRoutesVersion(routesVersion);
     }
+    m_membersChanged = false;
+    m_lastViewAt = Process::steadyNow();
     auto view = std::make_shared<NodeView>();
     view->routes = m_routes;
     view->routesCurrent = routesCurrent();
     view->upstreamsKnown = followedTopic(Topic::Upstreams).feed.hasSnapshot();
     view->draining = m_draining;
-    for (const auto &[id, it] : m_upstreams.upstreams()) {
-        if (!it.record.draining) {
-            view->upstreams.push_back(it);
-        }
+    if (!m_viewedUpstreams) {
+        m_viewedUpstreams = listedUpstreams();
     }
+    view->upstreams = m_viewedUpstreams;
     if (ready()) {
         view->entries.push_back({.host = m_settings.host, .domain = m_settings.domain, .address = Config::toString(m_settings.front)});
     }
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -2,6 +2,7 @@
 #define LABURNUMMAST_ENTRY_CONTROL_H
 
 #include "core/feed/keyedfeed.h"
+#include "core/fleet/firstread.h"
 #include "core/fleet/readerchoice.h"
 #include "core/fleet/upstreamtable.h"
 #include "entry/nodesettings.h"
@@ -102,10 +103,17 @@
         std::unique_ptr<TopicFollower> follower;
         /// Last contact with the store, direct or through a peer; empty before the first one.
         std::optional<Millis> lastContactAt;
+        /// When a peer sent the first records; empty if none did.
+        std::optional<Millis> firstRecordsAt;
         /// Last direct contact with the store.
         std::optional<Millis> lastDirectContactAt;
-        /// Time of the last report in which a daemon of higher rank stated that it reads the topic; empty if there was none.
+        /// Times of the last reports in which a daemon, or one of higher rank, stated that it reads the topic; empty if there was none.
+        std::optional<Millis> lastReaderReportAt;
         std::optional<Millis> lastHigherRankedReportAt;
+        /// Time of the last report of a daemon that has a snapshot of the topic; empty if there was none.
+        std::optional<Millis> lastSourceReportAt;
+        /// Rank of this daemon for reading the topic, as of `m_rankedRevision`.
+        std::size_t rank = 0;
         bool storeUnreachable = false;
     };
 
@@ -128,6 +136,9 @@
     void startFollower(Topic topic, std::string_view name);
     /// Starts or ends reading each topic from the store, according to rank and contact.
     void startOrEndReading(Millis now);
+    bool shouldRead(const FollowedTopic &followed, Millis now) const;
+    /// Works out the ranks of this daemon if the members have changed.
+    void updateRanks();
     /// Records contact with the store at the time `at`, made directly (`isDirect`) or through a peer.
     void recordContact(Topic topic, Millis at, bool isDirect);
     void detectUnreachableStore(Millis now);
@@ -148,19 +159,23 @@
     void tick();
     /// Schedules one call of updateView() in the event loop, unless one is scheduled already.
     void scheduleViewUpdate();
+    /// The same after a change of the upstreams.
+    void scheduleUpstreamUpdate();
     void updateView();
     /// Whether this daemon can serve calls: it knows routes and upstreams and is not draining.
     bool ready() const;
     bool routesCurrent() const;
+    /// Upstreams that may get new calls.
+    std::shared_ptr<const std::vector<Fleet::KnownUpstream>> listedUpstreams() const;
     Limits::LimitPool limitPool() const;
-    /// Hosts of the alive and suspected members.
-    std::vector<std::string> servingHosts() const;
-
     boost::asio::io_context &m_loop;
     NodeSettings m_settings;
     ControlEvents m_events;
     std::array<std::unique_ptr<FollowedTopic>, topicCount> m_topics;
     Fleet::ReaderTimeouts m_readerTimeouts;
+    Fleet::FirstReadOptions m_firstRead;
+    /// Revision of the members for which the ranks were worked out.
+    std::uint64_t m_rankedRevision = 0;
     Fleet::UpstreamTable m_upstreams;
     std::shared_ptr<const Routes::RouteTable> m_routes;
     /// Latest position of the routes that a peer reported.
@@ -181,9 +196,14 @@
     boost::asio::steady_timer m_timer;
     Millis m_startedAt;
     Millis m_lastReportAt{};
+    Millis m_lastViewAt{};
     bool m_draining = false;
     bool m_stopped = false;
     bool m_viewUpdateScheduled = false;
+    /// A member has changed since the last view.
+    bool m_membersChanged = false;
+    /// Upstreams of the last view; null if they have changed since.
+    std::shared_ptr<const std::vector<Fleet::KnownUpstream>> m_viewedUpstreams;
     std::uint64_t m_unreadableValues = 0;
 };
 
--- a/src/entry/nodesettings.h
+++ b/src/entry/nodesettings.h
@@ -20,6 +20,8 @@
     Millis drainPeriod{2000};
     /// Time between SIGTERM and SIGKILL.
     Millis gracePeriod{6000};
+    /// Time after the start of a daemon within which it must know all routes and upstreams.
+    Millis catchUp{4000};
     /// Longest time for which callers may keep an entry list.
     Millis entryListMaxAge{5000};
     /// Extra attempts (retries and hedges) allowed per call, over all daemons.
--- a/src/entry/nodeview.h
+++ b/src/entry/nodeview.h
@@ -32,7 +32,7 @@
     /// Whether a snapshot of the upstreams has been applied.
     bool upstreamsKnown = false;
     /// Upstreams that may get new calls: all known ones that are not draining.
-    std::vector<Fleet::KnownUpstream> upstreams;
+    std::shared_ptr<const std::vector<Fleet::KnownUpstream>> upstreams = std::make_shared<std::vector<Fleet::KnownUpstream>>();
     /// Daemons that are ready to accept calls.
     std::vector<EntryAddress> entries;
     /// Daemons that divide the limits of upstreams among themselves.
--- a/src/entry/peerlink.cpp
+++ b/src/entry/peerlink.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <iterator>
 #include <xxhash.h>
 
 namespace Laburnummast::Entry
@@ -17,8 +18,11 @@
 namespace Asio = boost::asio;
 
 constexpr std::chrono::milliseconds membershipTickInterval(100);
-// A report goes to all peers if there are at most this many, else to this many randomly chosen ones.
-constexpr std::size_t reportFanout = 24;
+// A report goes to all peers if there are at most this many, else to randomly chosen ones: to some of the own failure domain and, as
+// traffic between domains is expensive, to few of others.
+constexpr std::size_t maxPeersForAll = 24;
+constexpr std::size_t reportFanoutInDomain = 10;
+constexpr std::size_t reportFanoutElsewhere = 3;
 constexpr Millis fetchTimeout = 5_s;
 // A peer that sends nothing for this long is given up, while one with a slow link may take up to `fetchTimeout`.
 constexpr Millis fetchProgressTimeout = 500_ms;
@@ -215,19 +219,34 @@
 void PeerLink::sendReport(const PeerReport &report, bool toAll)
 {
     const auto bytes = encodeReport(report);
-    auto members = m_membership.serving();
-    std::erase_if(members, [&](const Membership::Member &it) { return it.info.host == m_settings.host; });
-    if (!toAll && members.size() > reportFanout) {
-        std::shuffle(members.begin(), members.end(), m_random);
-        members.resize(reportFanout);
+    const auto &serving = m_membership.serving();
+    if (toAll || serving.size() <= maxPeersForAll + 1) {
+        for (const auto &it : serving) {
+            sendReportTo(it, bytes);
+        }
+        return;
     }
-    for (const auto &it : members) {
-        sendReportTo(it, bytes);
+    std::vector<const Membership::Member *> inDomain;
+    std::vector<const Membership::Member *> elsewhere;
+    for (const auto &it : serving) {
+        (it.info.domain == m_settings.domain ? inDomain : elsewhere).push_back(&it);
     }
+    const auto sendToSome = [&](const std::vector<const Membership::Member *> &members, std::size_t count) {
+        std::vector<const Membership::Member *> chosen;
+        std::sample(members.begin(), members.end(), std::back_inserter(chosen), count, m_random);
+        for (const auto *it : chosen) {
+            sendReportTo(*it, bytes);
+        }
+    };
+    sendToSome(inDomain, reportFanoutInDomain);
+    sendToSome(elsewhere, reportFanoutElsewhere);
 }
 
 void PeerLink::sendReportTo(const Membership::Member &member, std::string_view bytes)
 {
+    if (member.info.host == m_settings.host) {
+        return;
+    }
     const auto port = static_cast<std::uint16_t>(member.info.peer.port + static_cast<std::uint16_t>(InternalPort::Reports));
     send(m_reportReceiver.socket, bytes, {.ip = member.info.peer.ip, .port = port});
 }
--- a/src/entry/peerlink.h
+++ b/src/entry/peerlink.h
@@ -85,7 +85,7 @@
 
     /// Opens the internal ports and joins the members. Returns the address that cannot be bound; nothing on success.
     std::optional<Address> start();
-    /// Sends a report to every peer, or to some if there are many and `toAll` is not set.
+    /// Sends a report to every peer, or to some, mostly of the same failure domain, if there are many and `toAll` is not set.
     void sendReport(const PeerReport &report, bool toAll);
     /// Requests the records of a topic from the position `from` on; does nothing while another request for the topic is in flight.
     void fetchRecords(Topic topic, const Feed::LogPosition &from, const Address &peer);
@@ -131,6 +131,7 @@
     void handleRecordsResponse(Topic topic, const Http::Response &response);
     /// Sends this daemon's position to waiting peers whose turn has come, and sets the timer for the next ones.
     void inviteWaitingPeers();
+    /// Does nothing for this daemon itself.
     void sendReportTo(const Membership::Member &member, std::string_view bytes);
     Http::ClientPool &clientPoolOf(const Address &peer);
     std::optional<Address> bind(Receiver &receiver, const Address &address);
--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -196,10 +196,23 @@
 
 void Traffic::setView(std::shared_ptr<const NodeView> view)
 {
+    const bool sameUpstreams = m_view->upstreams == view->upstreams && m_view->routes == view->routes;
     m_view = std::move(view);
+    if (!sameUpstreams) {
+        applyRoutesAndUpstreams();
+    }
+    updateProbeRate();
+    const auto options = placementOptions();
+    for (auto &[name, service] : m_services) {
+        service->dispatcher.configure(options, steadyNow());
+    }
+}
+
+void Traffic::applyRoutesAndUpstreams()
+{
     UpstreamConnections::Addresses addresses;
     std::map<std::string, std::vector<Placement::UpstreamSpec>, std::less<>> byService;
-    for (const auto &it : m_view->upstreams) {
+    for (const auto &it : *m_view->upstreams) {
         addresses[it.record.id] = it.record.address;
         byService[it.record.service].push_back({.id = it.record.id,
                                                 .domain = it.record.domain,
@@ -219,12 +232,9 @@
                            .headerTimeout = limits.headerTimeout,
                            .idleTimeout = limits.idleTimeout});
     }
-    updateProbeRate();
-    const auto options = placementOptions();
     for (auto &[name, service] : m_services) {
         const auto specs = byService.find(name);
         service->dispatcher.setUpstreams(specs == byService.end() ? std::vector<Placement::UpstreamSpec>() : specs->second);
-        service->dispatcher.configure(options, steadyNow());
     }
 }
 
@@ -264,7 +274,7 @@
 
 void Traffic::updateProbeRate()
 {
-    const auto allowed = m_settings.bounds.probesPerSecond * static_cast<double>(std::max<std::size_t>(1, m_view->upstreams.size()));
+    const auto allowed = m_settings.bounds.probesPerSecond * static_cast<double>(std::max<std::size_t>(1, m_view->upstreams->size()));
     const auto rate = probeRateShare * allowed / static_cast<double>(std::max<std::size_t>(1, m_view->servingDaemonCount));
     m_probeTokens.setRate(rate, rate * probeBurstSeconds);
 }
@@ -813,7 +823,7 @@
                      dispatcher.retriesLeft(now),
                      "\n");
     }
-    for (const auto &it : m_view->upstreams) {
+    for (const auto &it : *m_view->upstreams) {
         const auto service = m_services.find(it.record.service);
         const auto id = service == m_services.end() ? std::nullopt : service->second->dispatcher.idOf(it.record.id);
         if (!id) {
--- a/src/entry/traffic.h
+++ b/src/entry/traffic.h
@@ -188,6 +188,7 @@
     void handleRejected(const Http::RejectedRequest &request);
     void serveEntryList(const Http::Request &request, const Http::Responder &responder) const;
     void serveReadiness(const Http::Request &request, const Http::Responder &responder) const;
+    void applyRoutesAndUpstreams();
     Service &serviceOf(const std::string &name);
     Placement::PlacementOptions placementOptions() const;
     /// Longest body of an answer that is passed on.
--- a/src/platform/settings.cpp
+++ b/src/platform/settings.cpp
@@ -155,6 +155,7 @@
     auto &bounds = settings.bounds;
     reader.duration("terms.bounds.drain", bounds.drainPeriod);
     reader.duration("terms.bounds.grace-period", bounds.gracePeriod);
+    reader.duration("terms.bounds.catch-up", bounds.catchUp);
     // Limits the time for which a caller may keep an entry list.
     reader.duration("terms.bounds.ttl_max", bounds.entryListMaxAge);
     reader.number("terms.bounds.retry-budget-ratio", bounds.retryRatio);
--- a/tests/fleet/readerchoice.cpp
+++ b/tests/fleet/readerchoice.cpp
@@ -59,3 +59,12 @@
     CHECK(shouldRead(2, 100_ms, true, 2000_ms, timeouts));
     CHECK(shouldRead(2, 2000_ms, true, 100_ms, timeouts));
 }
+
+TEST_CASE("The daemon of rank 0 does not replace a reader that is in contact with the store")
+{
+    const ReaderTimeouts timeouts;
+    CHECK_FALSE(shouldRead(0, 1300_ms, false, 100_ms, timeouts));
+    CHECK(shouldRead(0, 1500_ms, false, 100_ms, timeouts));
+    CHECK(shouldRead(0, 500_ms, false, std::nullopt, timeouts));
+    CHECK(shouldRead(0, 500_ms, false, 800_ms, timeouts));
+}
