A member that knows no other pings its seeds every 200 ms instead of every 2 s

Cause: after a loss of power the seeds came up last (31.8 s against 31.4 s of the others), when the first pings had been lost. They knew no member, so nobody got their reports until the next ping of each member after 2 s.

Change: the reconnect interval is 200 ms while no other member is known.

Measured: the new test fails before (the seed knows 1 of 16 members after half a second); membership tests 21 of 21.

--- a/src/core/membership/membership.cpp
+++ b/src/core/membership/membership.cpp
@@ -16,6 +16,8 @@
 constexpr std::size_t maxMemberListMessages = 16;
 // Interval between pings to dead members and to seeds that belong to no known member.
 constexpr Millis reconnectInterval = 2_s;
+// The same while no other member is known: when a whole fleet starts, its seeds may be the last ones.
+constexpr Millis joinInterval = 200_ms;
 // A longer gap between ticks means that this process was paused. Acknowledgements missed meanwhile say nothing about other members.
 constexpr Millis pauseThreshold = 1_s;
 constexpr std::size_t maxRelays = 256;
@@ -249,7 +251,7 @@
         probeNext(now, actions);
     }
     if (now >= m_nextReconnect) {
-        m_nextReconnect = now + reconnectInterval;
+        m_nextReconnect = now + (m_members.empty() ? joinInterval : reconnectInterval);
         reconnect(actions);
     }
 }
--- a/tests/membership/membership.cpp
+++ b/tests/membership/membership.cpp
@@ -23,6 +23,17 @@
     }
 }
 
+TEST_CASE("Members that start half a second before their seed know it half a second after its start")
+{
+    FakeNetwork network(memberCount, 14);
+    network.setRunning(0, false);
+    network.run(550_ms);
+    network.start(0, 9000000);
+    network.run(500_ms);
+    CHECK(network.allObserve(0, MemberState::Alive));
+    CHECK(network.member(0).serving().size() == memberCount);
+}
+
 TEST_CASE("A member that joins 199 others knows at least 195 members within ten seconds")
 {
     FakeNetwork network(200, 12);
