Records cross into a failure domain twice and spread inside it; reads of the store pause 100 ms after new records

Cause: each daemon fetched each batch of new records from the reader, so that 720 registrations crossed between failure domains once for each of 471 daemons.

Change: core/fleet/fetchsource: two daemons of a failure domain fetch from others and offer to their own, the rest wait up to 150 ms for such a source. The pause that lets a group of records arrive is 100 ms instead of 30.

--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -114,7 +114,7 @@
             .onRecords =
                 [this](std::size_t n) {
                     if (n > 0) {
-                        sendReport(true);
+                        sendReport(ReportScope::All);
                     }
                     scheduleViewUpdate();
                 },
@@ -184,12 +184,16 @@
     }
     m_rankedRevision = members.revision();
     std::vector<std::string> hosts;
-    hosts.reserve(members.serving().size());
+    std::vector<std::string> hostsInDomain;
     for (const auto &it : members.serving()) {
         hosts.push_back(it.info.host);
+        if (it.info.domain == m_settings.domain) {
+            hostsInDomain.push_back(it.info.host);
+        }
     }
     for (const auto topic : {Topic::Routes, Topic::Upstreams}) {
         followedTopic(topic).rank = Fleet::readerRank(nameOf(topic), hosts, m_settings.host);
+        followedTopic(topic).rankInDomain = Fleet::readerRank(nameOf(topic), hostsInDomain, m_settings.host);
     }
 }
 
@@ -243,7 +247,7 @@
     // The reports of a reader must reach every daemon; for other reports some daemons suffice.
     const bool isReader = std::any_of(m_topics.begin(), m_topics.end(), [](const auto &it) { return it->follower->active(); });
     if (now - m_lastReportAt >= reportInterval(isReader)) {
-        sendReport(isReader);
+        sendReport(isReader ? ReportScope::All : ReportScope::Some);
     }
     m_timer.expires_after(tickInterval);
     m_timer.async_wait([this](const auto &ec) {
@@ -280,7 +284,7 @@
     return report;
 }
 
-void Control::sendReport(bool toAll)
+void Control::sendReport(ReportScope scope)
 {
     m_lastReportAt = Process::steadyNow();
     auto report = positionReport();
@@ -290,7 +294,7 @@
     m_outcomes.clear();
     report.observations.contention = std::exchange(m_contention, {});
     report.observations.limits = takeLimits();
-    m_peers.sendReport(report, toAll);
+    m_peers.sendReport(report, scope);
 }
 
 std::vector<ReportedLimit> Control::takeLimits()
@@ -330,8 +334,7 @@
             scheduleViewUpdate();
         }
         if (peerIsAhead) {
-            m_peers.fetchRecords(
-                topic, followed.feed.hasSnapshot() ? followed.feed.position() : Feed::LogPosition{}, recordsAddressOf(report));
+            fetchFrom(topic, report, now);
         } else if (peerPosition.hasSnapshot && peerPosition.position() == followed.feed.position()) {
             // Contact through a peer is as old as the peer's own. It counts only at the same position, because it does not cover
             // records that this daemon has not fetched yet.
@@ -362,6 +365,19 @@
     }
 }
 
+void Control::fetchFrom(Topic topic, const PeerReport &report, Millis now)
+{
+    auto &followed = followedTopic(topic);
+    followed.behindSince = followed.behindSince.value_or(now);
+    const auto *peer = m_peers.members().find(report.host);
+    const Fleet::FetchSource source{.sameDomain = peer && peer->info.domain == m_settings.domain,
+                                    .rankInDomain = followed.rankInDomain,
+                                    .behindFor = now - *followed.behindSince};
+    if (Fleet::shouldFetchFrom(source)) {
+        m_peers.fetchRecords(topic, followed.feed.hasSnapshot() ? followed.feed.position() : Feed::LogPosition{}, recordsAddressOf(report));
+    }
+}
+
 Feed::FeedDelta Control::recordsSince(Topic topic, const Feed::LogPosition &from) const
 {
     auto delta = followedTopic(topic).feed.deltaSince(from);
@@ -383,9 +399,13 @@
 {
     auto &followed = followedTopic(topic);
     const auto n = followed.feed.applyDelta(delta);
+    followed.behindSince.reset();
     if (!followed.firstRecordsAt) {
         followed.firstRecordsAt = Process::steadyNow();
     }
+    if (n > 0 && Fleet::offersToDomain(followed.rankInDomain)) {
+        m_peers.sendReport(positionReport(), ReportScope::Domain);
+    }
     logInfo("records-from-peer",
             {{"topic", textOf(static_cast<std::int64_t>(topic))},
              {"records", textOf(static_cast<std::int64_t>(n))},
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -2,6 +2,7 @@
 #define LABURNUMMAST_ENTRY_CONTROL_H
 
 #include "core/feed/keyedfeed.h"
+#include "core/fleet/fetchsource.h"
 #include "core/fleet/firstread.h"
 #include "core/fleet/readerchoice.h"
 #include "core/fleet/upstreamtable.h"
@@ -112,8 +113,11 @@
         std::optional<Millis> lastHigherRankedReportAt;
         /// Time of the last report of a daemon that has a snapshot of the topic; empty if there was none.
         std::optional<Millis> lastSourceReportAt;
-        /// Rank of this daemon for reading the topic, as of `m_rankedRevision`.
+        /// Since when a peer is known to be ahead; empty if none is.
+        std::optional<Millis> behindSince;
+        /// Ranks of this daemon for reading the topic, among all daemons and those of its failure domain, as of `m_rankedRevision`.
         std::size_t rank = 0;
+        std::size_t rankInDomain = 0;
         bool storeUnreachable = false;
     };
 
@@ -146,6 +150,8 @@
     void applyUpstreamRecord(const Feed::KeyedRecord &record);
     void handleMemberChange(const Membership::MemberChanged &change);
     void handleReport(const PeerReport &report);
+    /// Requests the records that a peer has and this daemon does not, unless a nearer source will have them soon.
+    void fetchFrom(Topic topic, const PeerReport &report, Millis now);
     void applyPeerRecords(Topic topic, const Feed::FeedDelta &delta);
     /// Report of this daemon's position in all topics, without observations.
     PeerReport positionReport() const;
@@ -153,8 +159,7 @@
     Feed::FeedDelta recordsSince(Topic topic, const Feed::LogPosition &from) const;
     /// Removes and returns the limits that fit into one report, changes first.
     std::vector<ReportedLimit> takeLimits();
-    /// Sends a report to all peers, or to some if there are many and `toAll` is not set.
-    void sendReport(bool toAll);
+    void sendReport(ReportScope scope);
     Millis reportInterval(bool isReader) const;
     void tick();
     /// Schedules one call of updateView() in the event loop, unless one is scheduled already.
--- a/src/entry/peerlink.cpp
+++ b/src/entry/peerlink.cpp
@@ -216,11 +216,11 @@
     ++m_counters.datagramsOut;
 }
 
-void PeerLink::sendReport(const PeerReport &report, bool toAll)
+void PeerLink::sendReport(const PeerReport &report, ReportScope scope)
 {
     const auto bytes = encodeReport(report);
     const auto &serving = m_membership.serving();
-    if (toAll || serving.size() <= maxPeersForAll + 1) {
+    if (scope == ReportScope::All || (scope == ReportScope::Some && serving.size() <= maxPeersForAll + 1)) {
         for (const auto &it : serving) {
             sendReportTo(it, bytes);
         }
@@ -238,8 +238,9 @@
             sendReportTo(*it, bytes);
         }
     };
-    sendToSome(inDomain, reportFanoutInDomain);
-    sendToSome(elsewhere, reportFanoutElsewhere);
+    const bool wholeDomain = scope == ReportScope::Domain;
+    sendToSome(inDomain, wholeDomain ? inDomain.size() : reportFanoutInDomain);
+    sendToSome(elsewhere, wholeDomain ? 0 : reportFanoutElsewhere);
 }
 
 void PeerLink::sendReportTo(const Membership::Member &member, std::string_view bytes)
@@ -314,7 +315,7 @@
     }
     m_events.onRecords(topic, *delta);
     if (m_uploads[static_cast<std::size_t>(topic)].needsRelays(response.body.size(), m_membership.serving().size())) {
-        sendReport(m_events.currentReport(), false);
+        sendReport(m_events.currentReport(), ReportScope::Some);
     }
 }
 
--- a/src/entry/peerlink.h
+++ b/src/entry/peerlink.h
@@ -13,6 +13,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -37,6 +38,15 @@
 /// Address of an internal port of this daemon.
 Address internalAddress(const NodeSettings &settings, InternalPort port);
 
+/// Which peers a report is sent to.
+enum class ReportScope : std::uint8_t {
+    All,
+    /// Those of the same failure domain.
+    Domain,
+    /// All if there are few; otherwise some, mostly of the same failure domain.
+    Some,
+};
+
 /// Callbacks for what other daemons send.
 struct PeerEvents
 {
@@ -85,8 +95,7 @@
 
     /// Opens the internal ports and joins the members. Returns the address that cannot be bound; nothing on success.
     std::optional<Address> start();
-    /// Sends a report to every peer, or to some, mostly of the same failure domain, if there are many and `toAll` is not set.
-    void sendReport(const PeerReport &report, bool toAll);
+    void sendReport(const PeerReport &report, ReportScope scope);
     /// Requests the records of a topic from the position `from` on; does nothing while another request for the topic is in flight.
     void fetchRecords(Topic topic, const Feed::LogPosition &from, const Address &peer);
     /// Announces the version of the routes in force to the other members; -1 while this daemon is not ready.
--- a/src/entry/topicfollower.cpp
+++ b/src/entry/topicfollower.cpp
@@ -17,7 +17,7 @@
 // Longest time for a whole response: a page of 1 MB takes seconds on a slow link.
 constexpr Millis totalTimeout = 20_s;
 // Pause after new records. Records usually appear in groups, so the next request gets the rest of a group at once.
-constexpr Millis batchDelay = 30_ms;
+constexpr Millis batchDelay = 100_ms;
 constexpr Millis initialBackoff = 100_ms;
 constexpr Millis maxBackoff = 2_s;
 
