--- a/bench/model/placementsimulation.cpp
+++ b/bench/model/placementsimulation.cpp
@@ -123,9 +123,10 @@
         }
         const auto daemons = static_cast<std::size_t>(m_options.daemons);
         Placement::PlacementOptions placement{
-            .domain = "a", .retries = {.daemons = daemons}, .daemonDomains = std::vector<std::string>(daemons, "a")};
+            .host = {}, .domain = "a", .retries = {.daemons = daemons}, .daemonDomains = std::vector<std::string>(daemons, "a")};
         const double rate = 0.9 * m_options.probesPerSecond * m_options.upstreams / m_options.daemons;
         for (int i = 0; i < m_options.daemons; ++i) {
+            placement.host = std::to_string(i);
             placement.daemonIndex = static_cast<std::size_t>(i);
             auto &tokens = m_probeTokens[static_cast<std::size_t>(i)];
             tokens.setRate(rate, rate * 5);
--- a/src/core/placement/placementoptions.h
+++ b/src/core/placement/placementoptions.h
@@ -16,7 +16,8 @@
 /// Configuration of a ServiceDispatcher.
 struct PlacementOptions
 {
-    /// Failure domain of this daemon.
+    /// Host and failure domain of this daemon.
+    std::string host;
     std::string domain;
     /// Budget that limits retries and hedges.
     Retry::SharedRetryBudgetOptions retries;
@@ -39,6 +40,8 @@
     Millis probeRoundTimeout{8};
     /// Pause between probe rounds for waiting calls: a small part of the duration of a call.
     Millis waitingProbeInterval{5};
+    /// Time for which an upstream keeps an idle connection; a daemon with few calls probes few upstreams, so that it can reuse connections.
+    Millis connectionLifetime{8000};
     /// Share of the retry budget that hedges must leave for retries, 0 to 1.
     double hedgeReserve = 0.4;
 };
--- a/src/core/placement/servicedispatcher.cpp
+++ b/src/core/placement/servicedispatcher.cpp
@@ -25,6 +25,8 @@
 // A hedge is sent once a call takes this multiple of the typical latency.
 constexpr double hedgeDelayFactor = 1.6;
 constexpr int maxProbeRounds = 2;
+// A daemon with few calls still chooses among this many upstreams.
+constexpr std::size_t minFamiliarUpstreams = 16;
 // Share of waiting calls that are sent to a free slot of an upstream rejected for its expected contention: a learned factor could
 // never be corrected if no call were sent against it. The second value applies while too few answers support the factor.
 constexpr double trialProbability = 0.03;
@@ -80,6 +82,7 @@
 void ServiceDispatcher::setUpstreams(std::span<const UpstreamSpec> specs)
 {
     m_upstreams.update(specs);
+    m_upstreams.assignAffinity(m_options.host);
     m_upstreams.assignPreferred(m_options.daemonDomains, m_options.daemonIndex);
 }
 
@@ -112,6 +115,7 @@
 void ServiceDispatcher::submit(const CallSpec &spec, Millis now, Actions &actions)
 {
     ++m_counters.calls;
+    m_firstCallAt = m_firstCallAt.value_or(now);
     m_budget.recordCall(now);
     auto &call = m_calls[spec.id];
     call.spec = spec;
@@ -151,6 +155,18 @@
     return entry.limit.perSecond(now) ? entry.limit.hasShare(now) : entry.preferred;
 }
 
+std::size_t ServiceDispatcher::familiarCount(Millis now) const
+{
+    // Under pressure a free slot is worth more than a kept connection, and at first the rate of calls is unknown.
+    const bool rateKnown = m_firstCallAt && now - *m_firstCallAt >= m_options.retries.window;
+    if (m_pressure > lowPressure || !rateKnown) {
+        return m_upstreams.size();
+    }
+    // Each call probes about one upstream besides the preferred ones.
+    const double callsPerLifetime = m_budget.calls(now) * (m_options.connectionLifetime / m_options.retries.window);
+    return std::max(static_cast<std::size_t>(callsPerLifetime), minFamiliarUpstreams);
+}
+
 std::vector<UpstreamId> ServiceDispatcher::selectForProbing(const OpenCall &call, std::size_t count, Millis now)
 {
     std::vector<UpstreamId> order;
@@ -162,6 +178,8 @@
         }
     }
     std::shuffle(order.begin(), order.end(), m_random);
+    const auto familiar = familiarCount(now);
+    std::stable_partition(order.begin(), order.end(), [&](UpstreamId id) { return m_upstreams[id].affinityRank < familiar; });
     std::stable_partition(order.begin(), order.end(), [&](UpstreamId id) { return isPreferred(m_upstreams[id], now); });
     // Bulk calls probe their own failure domain first; other calls probe it for half of the count, since a suitable near upstream is
     // as good as a far one. Under pressure domains are not distinguished, or the daemons of one domain would overload its upstreams.
--- a/src/core/placement/servicedispatcher.h
+++ b/src/core/placement/servicedispatcher.h
@@ -242,6 +242,8 @@
 
     void learnFromProbe(UpstreamEntry &entry, const ProbeResult &result, Millis now);
     void startSearch(OpenCall &call, Search search, Millis now, Actions &actions);
+    /// Number of upstreams that are probed first, because connections to them can be kept; see UpstreamEntry::affinityRank.
+    std::size_t familiarCount(Millis now) const;
     /// Returns up to `count` upstreams that the call probes next.
     std::vector<UpstreamId> selectForProbing(const OpenCall &call, std::size_t count, Millis now);
     void startProbeRound(OpenCall &call, std::size_t count, Millis now, Actions &actions);
@@ -296,6 +298,8 @@
     Retry::SharedRetryBudget m_budget;
     Retry::TokenBucket &m_probeTokens;
     LatencyModel m_latencyModel;
+    /// When the first call was submitted; empty before.
+    std::optional<Millis> m_firstCallAt;
     /// Moving average of the share of searches that found no suitable upstream.
     double m_pressure = 0;
     /// Last time that probes were started for waiting calls.
--- a/src/core/placement/upstreamset.cpp
+++ b/src/core/placement/upstreamset.cpp
@@ -1,6 +1,7 @@
 #include "core/placement/upstreamset.h"
 
 #include "core/placement/preferredupstreams.h"
+#include "core/routing/rendezvous.h"
 
 #include <algorithm>
 #include <utility>
@@ -104,6 +105,20 @@
     }
 }
 
+void UpstreamSet::assignAffinity(std::string_view host)
+{
+    std::vector<std::pair<std::uint64_t, UpstreamEntry *>> order;
+    for (const auto &[name, id] : m_ids) {
+        if (m_entries[id].listed) {
+            order.emplace_back(Routing::rendezvousScore(host, name), &m_entries[id]);
+        }
+    }
+    std::sort(order.begin(), order.end());
+    for (std::size_t i = 0; i < order.size(); ++i) {
+        order[i].second->affinityRank = i;
+    }
+}
+
 std::optional<UpstreamId> UpstreamSet::idOf(std::string_view name) const
 {
     const auto it = m_ids.find(name);
--- a/src/core/placement/upstreamset.h
+++ b/src/core/placement/upstreamset.h
@@ -55,6 +55,8 @@
     /// This daemon prefers it. Unless there are more daemons than upstreams, no other daemon does, so that nearly all calls running
     /// there are its own. See preferredUpstreams().
     bool preferred = false;
+    /// Place in this daemon's own order of the upstreams, 0 for the first one; daemons have different orders.
+    std::size_t affinityRank = 0;
     /// A probe is in flight.
     bool probing = false;
     Millis probeStartedAt;
@@ -74,6 +76,8 @@
     void update(std::span<const UpstreamSpec> specs);
     /// Marks the upstreams that the daemon at `daemonIndex` prefers; see preferredUpstreams().
     void assignPreferred(std::span<const std::string> daemonDomains, std::size_t daemonIndex);
+    /// Ranks the listed upstreams in an order that depends on the host of this daemon.
+    void assignAffinity(std::string_view host);
 
     UpstreamEntry &operator[](UpstreamId id)
     {
--- a/src/core/retry/sharedretrybudget.cpp
+++ b/src/core/retry/sharedretrybudget.cpp
@@ -59,15 +59,21 @@
     return sum;
 }
 
-double SharedRetryBudget::allowed(Millis now) const
+double SharedRetryBudget::calls(Millis now) const
 {
     const auto newest = indexOf(now);
-    double calls = 0;
+    double sum = 0;
     for (const auto &it : m_buckets) {
         // One bucket less than for the extra attempts, so that a window never holds fewer calls than are counted here.
-        calls += it.index > newest - static_cast<std::int64_t>(bucketCount) ? it.calls : 0;
+        sum += it.index > newest - static_cast<std::int64_t>(bucketCount) ? it.calls : 0;
     }
-    return usableShare * (m_options.ratio * calls + m_options.slack / static_cast<double>(std::max<std::size_t>(1, m_options.daemons)));
+    return sum;
+}
+
+double SharedRetryBudget::allowed(Millis now) const
+{
+    return usableShare
+        * (m_options.ratio * calls(now) + m_options.slack / static_cast<double>(std::max<std::size_t>(1, m_options.daemons)));
 }
 
 bool SharedRetryBudget::allows(Millis now, double reserve) const
--- a/src/core/retry/sharedretrybudget.h
+++ b/src/core/retry/sharedretrybudget.h
@@ -39,6 +39,8 @@
     bool allows(Millis now, double reserve = 0) const;
     /// Counts an extra attempt that was sent.
     void recordExtraAttempt(Millis now);
+    /// Calls received in the current window.
+    double calls(Millis now) const;
     /// Extra attempts sent in the current window.
     double spent(Millis now) const;
     /// Extra attempts that this daemon may send in the current window.
--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -265,7 +265,8 @@
     for (const auto &it : serving) {
         domains.push_back(it.domain);
     }
-    return {.domain = m_settings.domain,
+    return {.host = m_settings.host,
+            .domain = m_settings.domain,
             .retries = {.ratio = bounds.retryRatio, .slack = bounds.retrySlack, .window = bounds.retryWindow, .daemons = daemons},
             .daemonDomains = domains,
             .daemonIndex = static_cast<std::size_t>(own - serving.begin()),
--- a/tests/placement/servicedispatcher.cpp
+++ b/tests/placement/servicedispatcher.cpp
@@ -1,7 +1,9 @@
 #include "placement/dispatcherfixture.h"
 
+#include <algorithm>
 #include <doctest/doctest.h>
 #include <set>
+#include <string>
 
 using namespace Laburnummast;
 using namespace Laburnummast::Placement;
@@ -384,3 +386,36 @@
     REQUIRE(id.has_value());
     CHECK(*id < 16);
 }
+
+TEST_CASE("A daemon with few calls probes few of many upstreams, so that it can reuse connections, and one with many calls probes all")
+{
+    const auto probedUpstreams = [](std::size_t upstreams, double callsPerSecond, const std::string &host) {
+        DispatcherFixture fixture(upstreams, {.host = host, .domain = "a"});
+        std::set<std::string> probed;
+        const auto learningEnd = fixture.now + 10_s;
+        const auto calls = static_cast<int>(30 * callsPerSecond);
+        for (int i = 0; i < calls; ++i) {
+            fixture.submit(static_cast<CallId>(i + 1), true);
+            for (const auto &it : fixture.actions) {
+                if (const auto *probe = std::get_if<Dispatch::ProbeUpstream>(&it); probe && fixture.now > learningEnd) {
+                    probed.insert(fixture.dispatcher.view(probe->upstream)->spec().id);
+                }
+            }
+            fixture.answerProbes(idleLoad);
+            for (const auto &it : fixture.take<Dispatch::SendAttempt>()) {
+                fixture.dispatcher.attemptEnded(
+                    it.call, it.attempt, Dispatch::AttemptOutcome::Answered, idleLoad, fixture.now, fixture.actions);
+            }
+            fixture.actions.clear();
+            fixture.now += 1_s * (1 / callsPerSecond);
+        }
+        return probed;
+    };
+    const auto few = probedUpstreams(650, 3, "host-1");
+    CHECK(few.size() <= 32);
+    CHECK(few.size() >= 16);
+    // Daemons probe different ones.
+    const auto others = probedUpstreams(650, 3, "host-2");
+    CHECK(std::count_if(few.begin(), few.end(), [&](const std::string &it) { return others.contains(it); }) <= 10);
+    CHECK(probedUpstreams(33, 20, "host-1").size() == 33);
+}
--- a/tests/placement/upstreamlimits.cpp
+++ b/tests/placement/upstreamlimits.cpp
@@ -154,7 +154,7 @@
             }
             pool->daemons.push_back({.name = "host-" + std::to_string(i), .domain = domainOf(i)});
         }
-        return {.domain = domainOf(self), .limitPool = std::move(pool)};
+        return {.host = "host-" + std::to_string(self), .domain = domainOf(self), .limitPool = std::move(pool)};
     }
 
     void step()
