--- a/src/cli/logtrail.cpp
+++ b/src/cli/logtrail.cpp
@@ -13,8 +13,16 @@
 
 // Events that may explain the outcome of a call although they do not name it. For each process that handled the call, the last
 // line of each of these events before the end of the call is shown.
-constexpr std::array<std::string_view, 9> contextEvents{
-    "started", "draining", "reloaded", "routes-in-force", "store-away", "store-back", "store-read-failed", "lines-left-out", "member"};
+constexpr std::array<std::string_view, 10> contextEvents{"started",
+                                                         "draining",
+                                                         "reloaded",
+                                                         "routes-in-force",
+                                                         "store-away",
+                                                         "store-back",
+                                                         "store-read-failed",
+                                                         "lines-left-out",
+                                                         "member",
+                                                         "members-known"};
 
 bool isContextEvent(const LogLine &line)
 {
--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -244,8 +244,12 @@
     if (m_upstreams.applyHeldRecords(now)) {
         scheduleUpstreamUpdate();
     }
-    const bool startEnded = membersKnown() && m_lastViewAt - m_startedAt < m_settings.bounds.catchUp;
-    if ((m_membersChanged || startEnded) && now - m_lastViewAt >= memberViewInterval) {
+    if (m_membersChanged && now - m_lastViewAt >= memberViewInterval) {
+        scheduleViewUpdate();
+    }
+    if (membersKnown() && !m_startEnded) {
+        m_startEnded = true;
+        logInfo("members-known", {{"count", textOf(static_cast<std::int64_t>(m_peers.members().serving().size()))}});
         scheduleViewUpdate();
     }
     // The reports of a reader must reach every daemon; for other reports some daemons suffice.
@@ -488,7 +492,9 @@
 
 void Control::handleMemberChange(const Membership::MemberChanged &change)
 {
-    if (!change.previousState || *change.previousState != change.member.state) {
+    // The members that are there when this daemon starts get one line together, see tick().
+    const bool isInitial = !change.previousState && !membersKnown();
+    if (!isInitial && (!change.previousState || *change.previousState != change.member.state)) {
         logInfo("member", {{"host", change.member.info.host}, {"state", std::string(Membership::nameOf(change.member.state))}});
     }
     m_membersChanged = true;
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -207,6 +207,8 @@
     bool m_draining = false;
     bool m_stopped = false;
     bool m_viewUpdateScheduled = false;
+    /// The catch-up time after the start has passed.
+    bool m_startEnded = false;
     /// A member has changed since the last view.
     bool m_membersChanged = false;
     /// Upstreams of the last view; null if they have changed since.
