--- a/tests/placement/dispatcherfixture.h
+++ b/tests/placement/dispatcherfixture.h
@@ -38,6 +38,17 @@
         }
     }
 
+    // Answers every pending attempt successfully with the same load; returns the upstreams of these attempts.
+    std::vector<UpstreamId> answerAttempts(const LoadReport &load)
+    {
+        std::vector<UpstreamId> upstreams;
+        for (const auto &it : take<Dispatch::SendAttempt>()) {
+            upstreams.push_back(it.upstream);
+            dispatcher.attemptEnded(it.call, it.attempt, Dispatch::AttemptOutcome::Answered, load, now, actions);
+        }
+        return upstreams;
+    }
+
     // Removes the pending actions of one type and returns them.
     template <class T>
     std::vector<T> take()
--- a/tests/placement/servicedispatcher.cpp
+++ b/tests/placement/servicedispatcher.cpp
@@ -393,19 +393,16 @@
         DispatcherFixture fixture(upstreams, {.host = host, .domain = "a"});
         std::set<std::string> probed;
         const auto learningEnd = fixture.now + 10_s;
-        const auto calls = static_cast<int>(30 * callsPerSecond);
-        for (int i = 0; i < calls; ++i) {
-            fixture.submit(static_cast<CallId>(i + 1), true);
+        const auto calls = static_cast<CallId>(30 * callsPerSecond);
+        for (CallId call = 1; call <= calls; ++call) {
+            fixture.submit(call, true);
             for (const auto &it : fixture.actions) {
                 if (const auto *probe = std::get_if<Dispatch::ProbeUpstream>(&it); probe && fixture.now > learningEnd) {
                     probed.insert(fixture.dispatcher.view(probe->upstream)->spec().id);
                 }
             }
             fixture.answerProbes(idleLoad);
-            for (const auto &it : fixture.take<Dispatch::SendAttempt>()) {
-                fixture.dispatcher.attemptEnded(
-                    it.call, it.attempt, Dispatch::AttemptOutcome::Answered, idleLoad, fixture.now, fixture.actions);
-            }
+            fixture.answerAttempts(idleLoad);
             fixture.actions.clear();
             fixture.now += 1_s * (1 / callsPerSecond);
         }
