--- a/tests/placement/upstreamavailability.cpp
+++ b/tests/placement/upstreamavailability.cpp
@@ -31,10 +31,8 @@
             }
         }
         fixture.answerProbes(idleLoad);
-        for (const auto &it : fixture.take<Dispatch::SendAttempt>()) {
-            contacted.insert(it.upstream);
-            fixture.dispatcher.attemptEnded(
-                it.call, it.attempt, Dispatch::AttemptOutcome::Answered, idleLoad, fixture.now, fixture.actions);
+        for (const auto it : fixture.answerAttempts(idleLoad)) {
+            contacted.insert(it);
         }
         fixture.actions.clear();
         fixture.now += 20_ms;
