--- a/review/standin/harness.h
+++ b/review/standin/harness.h
@@ -609,6 +609,11 @@
     std::string path = std::string("PATH=") + (std::getenv("PATH") ? std::getenv("PATH") : "");
     char *environment[] = {variable.data(), path.data(), nullptr};
     const int log = ::open(machine.logPath.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+    // Closed by the exec: until then the process has the memory of this one.
+    int execDone[2] = {-1, -1};
+    if (::pipe2(execDone, O_CLOEXEC) != 0) {
+        cannotRun("no pipe");
+    }
     machine.pid = ::fork();
     if (machine.pid == 0) {
         ::prctl(PR_SET_PDEATHSIG, SIGKILL);
@@ -619,6 +624,10 @@
         ::_exit(127);
     }
     ::close(log);
+    ::close(execDone[1]);
+    char none = 0;
+    [[maybe_unused]] const auto end = ::read(execDone[0], &none, 1);
+    ::close(execDone[0]);
     if (machine.pid < 0) {
         cannotRun("cannot start " + command[0]);
     }
