An answer without a length is complete only if its request was written completely

Cause: a reset makes the pending write and the pending read ready at once. The write runs first and takes the socket's error; the read then returns an end of stream, which was taken for the end of the body. The failed write was ignored.

Change: the end of the stream completes such an answer only once the request has been written; after a failed write the answer is lost. A server that ends its own direction and reads on still gets its answer delivered.

--- a/src/http/clientconnection.cpp
+++ b/src/http/clientconnection.cpp
@@ -89,7 +89,8 @@
 {
     m_exchange = std::move(exchange);
     ++m_exchangeCount;
-    m_requestWritten = false;
+    m_requestState = RequestState::Sending;
+    m_responseStreamEnded = false;
     m_deadline = Process::steadyNow() + m_exchange.timeout;
     m_discardedResponses = 0;
     startTimer();
@@ -134,12 +135,20 @@
             if (self->m_exchangeCount != exchange || self->m_state != State::Exchanging) {
                 return;
             }
-            // The read reports a failed write: the server may have sent an early response before it reset the connection.
-            self->m_requestWritten = !ec;
+            self->onRequestSent(ec);
         });
     read();
 }
 
+void ClientConnection::onRequestSent(const boost::system::error_code &ec)
+{
+    // A failed write does not end the exchange: an early response may have arrived before the server reset the connection.
+    m_requestState = ec ? RequestState::SendFailed : RequestState::Sent;
+    if (m_responseStreamEnded) {
+        onStreamEnded();
+    }
+}
+
 void ClientConnection::resetParser()
 {
     m_parser.emplace();
@@ -171,14 +180,12 @@
         return;
     }
     if (ec) {
-        const bool responseEndsHere = ec == Asio::error::eof && m_parser->got_some() && m_parser->is_header_done() && m_parser->need_eof();
-        if (responseEndsHere) {
-            boost::system::error_code ignored;
-            m_parser->put_eof(ignored);
-            onResponse();
+        m_responseStreamEnded = ec == Asio::error::eof && m_parser->got_some() && m_parser->is_header_done() && m_parser->need_eof();
+        if (!m_responseStreamEnded) {
+            fail(ClientError::ConnectionLost);
             return;
         }
-        fail(ClientError::ConnectionLost);
+        onStreamEnded();
         return;
     }
     m_buffer.commit(n);
@@ -217,6 +224,24 @@
     read();
 }
 
+// The end of the stream alone does not tell a complete response from one that a reset cut off: a socket reports a reset only once, and a
+// write that is pending takes it first, after which reads end like those of a closed stream. So the write decides.
+void ClientConnection::onStreamEnded()
+{
+    switch (m_requestState) {
+    case RequestState::Sending:
+        return;
+    case RequestState::SendFailed:
+        fail(ClientError::ConnectionLost);
+        return;
+    case RequestState::Sent:
+        boost::system::error_code ignored;
+        m_parser->put_eof(ignored);
+        onResponse();
+        return;
+    }
+}
+
 void ClientConnection::onResponse()
 {
     const bool endsConnection = m_parser->need_eof();
@@ -239,7 +264,7 @@
         return;
     }
     // If the response came before the request was fully written, the server still expects the rest of the body on this connection.
-    const bool reusable = response.keepAlive && !endsConnection && m_requestWritten && m_buffer.size() == 0;
+    const bool reusable = response.keepAlive && !endsConnection && m_requestState == RequestState::Sent && m_buffer.size() == 0;
     m_serverKeepAlive = keepAliveTimeoutOf(response);
     m_timer.cancel();
     if (reusable) {
--- a/src/http/clientconnection.h
+++ b/src/http/clientconnection.h
@@ -112,13 +112,20 @@
         Exchanging,
         Closed,
     };
+    enum class RequestState {
+        Sending,
+        Sent,
+        SendFailed,
+    };
 
     void connect();
     void send();
+    void onRequestSent(const boost::system::error_code &ec);
     void resetParser();
     void read();
     void onRead(const boost::system::error_code &ec, std::size_t n);
     void parseBuffered();
+    void onStreamEnded();
     void onResponse();
     void finish(ClientResult result);
     void fail(ClientError error);
@@ -133,7 +140,9 @@
     State m_state = State::Idle;
     bool m_connected = false;
     bool m_readPending = false;
-    bool m_requestWritten = false;
+    RequestState m_requestState = RequestState::Sending;
+    /// Whether the server has ended its stream after a response whose length only the end of the stream tells.
+    bool m_responseStreamEnded = false;
     /// How often the timer was set.
     std::uint64_t m_timerCount = 0;
     /// When the current exchange times out, on the steady clock.
