A planned stop waits for requests that are still arriving and answers what is left at its end

Cause: a connection with a request received in part counted as idle, so the daemon found itself idle 2.5 s after the signal; nothing was checked again while the admin server stopped, and the listeners then closed with requests in flight. What was left at the end of the grace period was closed without an answer.

Change: a request counts from its first byte; the daemon goes on only once it accepts nothing and no connection is open, or near the end of the grace period, when all calls are ended with what is known of them and requests that arrived in part are refused with 503. The same cause: new connections during a drain were closed unread, as were bytes at idle kept connections, pipelined requests and connections in the queue of the listening socket.

--- a/src/core/placement/servicedispatcher.cpp
+++ b/src/core/placement/servicedispatcher.cpp
@@ -133,6 +133,16 @@
     }
 }
 
+void ServiceDispatcher::endCalls(Millis now, Actions &actions)
+{
+    for (auto &[id, it] : m_calls) {
+        it.mayHaveRun = it.mayHaveRun || !it.activeAttempts.empty();
+        cancelOthers(it, std::nullopt, now, actions);
+        giveUp(it, now, actions);
+    }
+    m_calls.clear();
+}
+
 void ServiceDispatcher::startSearch(OpenCall &call, Search search, Millis now, Actions &actions)
 {
     call.search = search;
--- a/src/core/placement/servicedispatcher.h
+++ b/src/core/placement/servicedispatcher.h
@@ -85,6 +85,8 @@
         CallId call, AttemptNumber attempt, AttemptOutcome outcome, const std::optional<LoadReport> &load, Millis now, Actions &actions);
     /// Drops a call that nobody waits for any more and cancels its attempts.
     void cancel(CallId call, Millis now, Actions &actions);
+    /// Ends all calls with what is known of them and cancels their attempts.
+    void endCalls(Millis now, Actions &actions);
     /// Adds outcomes that other daemons observed.
     void recordPeerOutcomes(std::span<const OutcomeCount> outcomes, Millis now)
     {
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -1,6 +1,7 @@
 // laburnummast-entry: daemon that serves callers on an entry host of the platform.
 
 #include "core/config/address.h"
+#include "core/text.h"
 #include "entry/admin.h"
 #include "entry/node.h"
 #include "platform/settings.h"
@@ -14,6 +15,7 @@
 #include <csignal>
 #include <iostream>
 #include <optional>
+#include <thread>
 
 ABSL_FLAG(std::string, settings, "", "settings file; by default the one that the environment names");
 ABSL_FLAG(bool, check, false, "check the settings file and exit");
@@ -79,12 +81,15 @@
         }
     }
     Process::logInfo("draining");
-    const bool drained = node.drain();
-    admin.stop();
+    const auto unanswered = node.drain();
+    // Little of the grace period may be left, and both wait for open connections.
+    std::thread adminStop([&admin] { admin.stop(); });
+    node.endCalls();
+    adminStop.join();
     node.stop();
-    Process::logInfo("stopped", {{"cut", drained ? "no" : "yes"}});
+    Process::logInfo("stopped", {{"cut", Text::concat(unanswered)}});
     Process::stopLog();
-    return drained ? exitOk : exitCallsCancelled;
+    return unanswered == 0 ? exitOk : exitCallsCancelled;
 }
 
 }
--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -12,12 +12,19 @@
 namespace
 {
 
-constexpr std::chrono::milliseconds drainPollInterval(50);
-// Time between the end of draining and SIGKILL, which the process needs to exit by itself.
-constexpr Millis shutdownMargin = 700_ms;
+constexpr std::chrono::milliseconds drainPollInterval(20);
+// Share of the grace period after which the calls that are left are answered, and the longest time between that and SIGKILL. The
+// process needs that time to deliver these answers and to exit by itself.
+constexpr double drainShare = 0.85;
+constexpr Millis maxShutdownTime = 900_ms;
 // Longest time for which a daemon that left the entry lists still accepts connections: callers with an older list still connect.
 constexpr Millis acceptTimeAfterLeaving = 2500_ms;
 
+Millis drainTimeoutOf(Millis gracePeriod)
+{
+    return std::max(gracePeriod * drainShare, gracePeriod - maxShutdownTime);
+}
+
 }
 
 Node::Node(const NodeSettings &settings)
@@ -76,28 +83,34 @@
     boost::asio::post(m_trafficLoop, [this, bounds = settings.bounds] { m_traffic->setBounds(bounds); });
 }
 
-bool Node::drain()
+std::size_t Node::drain()
 {
-    const auto startedAt = Process::steadyNow();
+    m_drainStartedAt = Process::steadyNow();
+    const auto drainTimeout = drainTimeoutOf(m_settings.bounds.gracePeriod);
     boost::asio::post(m_controlLoop, [this] { m_control->drain(); });
     boost::asio::post(m_trafficLoop, [this] { m_traffic->drain(); });
-    const auto drainTimeout = m_settings.bounds.gracePeriod - shutdownMargin;
-    const auto acceptTime = std::min(acceptTimeAfterLeaving, drainTimeout * 0.5);
-    bool accepting = true;
-    while (true) {
+    std::this_thread::sleep_for(Process::toChrono(std::min(acceptTimeAfterLeaving, drainTimeout * 0.5)));
+    runAndWait(m_trafficLoop, [this] {
+        m_traffic->stopAccepting();
+        return true;
+    });
+    waitUntilFinished(drainTimeout);
+    return runAndWait(m_trafficLoop, [this] { return m_traffic->unansweredRequests(); });
+}
+
+void Node::endCalls()
+{
+    runAndWait(m_trafficLoop, [this] {
+        m_traffic->endCalls();
+        return true;
+    });
+    waitUntilFinished(m_settings.bounds.gracePeriod);
+}
+
+void Node::waitUntilFinished(Millis elapsed)
+{
+    while (Process::steadyNow() - m_drainStartedAt < elapsed && !runAndWait(m_trafficLoop, [this] { return m_traffic->finished(); })) {
         std::this_thread::sleep_for(drainPollInterval);
-        const auto elapsed = Process::steadyNow() - startedAt;
-        if (accepting && elapsed >= acceptTime) {
-            accepting = false;
-            boost::asio::post(m_trafficLoop, [this] { m_traffic->stopAccepting(); });
-        }
-        const bool idle = runAndWait(m_trafficLoop, [this] { return m_traffic->idle(); });
-        if (!accepting && idle) {
-            return true;
-        }
-        if (elapsed >= drainTimeout) {
-            return idle;
-        }
     }
 }
 
--- a/src/entry/node.h
+++ b/src/entry/node.h
@@ -19,7 +19,7 @@
 
 /// One daemon: a control thread and a traffic thread, each with an event loop.
 ///
-/// drain() and the functions that return counters or state wait for a thread and may only be called between start() and stop().
+/// drain(), endCalls() and the functions that return counters or state wait for a thread and may only be called between start() and stop().
 class Node
 {
 public:
@@ -32,10 +32,13 @@
     std::optional<Address> start();
     /// Applies new bounds for retries, probes and entry lists; other settings and the grace period keep their values until a restart.
     void reload(const NodeSettings &settings);
-    /// Leaves the entry lists and waits for the calls in flight, until shortly before the end of the grace period.
+    /// Leaves the entry lists and waits until all calls are answered and all callers are disconnected, at most until shortly before the
+    /// end of the grace period. Calls that could not be answered by then are refused.
     ///
-    /// Returns whether all calls ended.
-    bool drain();
+    /// Returns the number of calls that are not answered yet.
+    std::size_t drain();
+    /// After drain(): answers the calls that are left and waits until the callers have got the answers.
+    void endCalls();
     /// Closes all connections and ends the threads.
     void stop();
 
@@ -52,7 +55,11 @@
     template <class Task>
     auto runAndWait(boost::asio::io_context &loop, Task task);
 
+    /// Waits until no caller is connected, at most until `elapsed`, counted from the start of the drain.
+    void waitUntilFinished(Millis elapsed);
+
     NodeSettings m_settings;
+    Millis m_drainStartedAt{};
     boost::asio::io_context m_trafficLoop{1};
     boost::asio::io_context m_controlLoop{1};
     WorkGuard m_trafficWorkGuard;
--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -775,6 +775,16 @@
     m_front.stopAccepting();
 }
 
+void Traffic::endCalls()
+{
+    for (const auto &[name, service] : m_services) {
+        Dispatch::Actions actions;
+        service->dispatcher.endCalls(steadyNow(), actions);
+        execute(*service, actions);
+    }
+    m_front.refuseIncompleteRequests();
+}
+
 void Traffic::stop()
 {
     m_housekeepingTimer.cancel();
--- a/src/entry/traffic.h
+++ b/src/entry/traffic.h
@@ -101,13 +101,20 @@
     void drain();
     /// Accepts no more connections of callers; calls in flight continue.
     void stopAccepting();
+    /// Ends all calls and rejects requests that have not arrived completely.
+    void endCalls();
     /// Closes all connections at once.
     void stop();
 
-    /// Whether no call is in flight.
-    bool idle() const
+    /// Number of calls that are not answered yet, and of requests that have arrived in part.
+    std::size_t unansweredRequests() const
     {
-        return m_calls.empty() && !m_front.hasBusyConnections();
+        return m_front.unansweredRequests();
+    }
+    /// Whether no call is in flight and no caller is connected.
+    bool finished() const
+    {
+        return m_calls.empty() && m_front.connectionCount() == 0;
     }
     TrafficCounters counters() const;
     const LatencyTotals &latencies() const
--- a/src/http/listener.cpp
+++ b/src/http/listener.cpp
@@ -62,15 +62,20 @@
             });
             return;
         }
-        ++m_state->counters.accepted;
-        const auto connection = std::make_shared<ServerConnection>(std::move(socket), m_state);
-        removeExpired();
-        m_connections.push_back(connection);
-        connection->start();
+        addConnection(std::move(socket));
         accept();
     });
 }
 
+void Listener::addConnection(boost::asio::ip::tcp::socket socket)
+{
+    ++m_state->counters.accepted;
+    const auto connection = std::make_shared<ServerConnection>(std::move(socket), m_state);
+    removeExpired();
+    m_connections.push_back(connection);
+    connection->start();
+}
+
 void Listener::removeExpired()
 {
     if (m_connections.size() < m_cleanupSize) {
@@ -90,7 +95,7 @@
     m_state->draining = true;
     for (const auto &it : m_connections) {
         if (const auto connection = it.lock()) {
-            connection->closeIfIdle();
+            connection->beginDraining();
         }
     }
 }
@@ -98,12 +103,30 @@
 void Listener::stopAccepting()
 {
     boost::system::error_code ec;
+    m_acceptor.non_blocking(true, ec);
+    // Closing the socket would reset the connections that wait in its queue.
+    while (!ec) {
+        auto socket = m_acceptor.accept(ec);
+        if (!ec) {
+            addConnection(std::move(socket));
+        }
+    }
     m_acceptor.close(ec);
 }
 
+void Listener::refuseIncompleteRequests()
+{
+    for (const auto &it : m_connections) {
+        if (const auto connection = it.lock()) {
+            connection->refuseIncompleteRequest();
+        }
+    }
+}
+
 void Listener::closeAll()
 {
-    stopAccepting();
+    boost::system::error_code ec;
+    m_acceptor.close(ec);
     for (const auto &it : m_connections) {
         if (const auto connection = it.lock()) {
             connection->close();
@@ -112,18 +135,20 @@
     m_connections.clear();
 }
 
-bool Listener::hasBusyConnections() const
+std::size_t Listener::unansweredRequests() const
 {
-    return std::any_of(m_connections.begin(), m_connections.end(), [](const auto &it) {
+    return static_cast<std::size_t>(std::count_if(m_connections.begin(), m_connections.end(), [](const auto &it) {
         const auto connection = it.lock();
-        return connection && connection->busy();
-    });
+        return connection && connection->hasUnansweredRequest();
+    }));
 }
 
 std::size_t Listener::connectionCount() const
 {
-    return static_cast<std::size_t>(
-        std::count_if(m_connections.begin(), m_connections.end(), [](const auto &it) { return !it.expired(); }));
+    return static_cast<std::size_t>(std::count_if(m_connections.begin(), m_connections.end(), [](const auto &it) {
+        const auto connection = it.lock();
+        return connection && !connection->closed();
+    }));
 }
 
 boost::asio::ip::tcp::endpoint Listener::endpoint() const
--- a/src/http/listener.h
+++ b/src/http/listener.h
@@ -27,15 +27,18 @@
     std::optional<boost::system::error_code> start(const boost::asio::ip::tcp::endpoint &endpoint);
     /// Later requests and responses use the new limits, also on open connections.
     void setLimits(const ServerLimits &limits);
-    /// Closes idle connections now and each other one after its response; new connections are still accepted.
+    /// Closes idle connections now and each other one after the responses to the requests that it has received. New connections are
+    /// still accepted, and closed after their first response.
     void beginDraining();
-    /// Closes the listening socket; open connections stay.
+    /// Accepts the connections that are already established and closes the listening socket; open connections stay.
     void stopAccepting();
+    /// Closes connections without a request and rejects requests that have not been received completely.
+    void refuseIncompleteRequests();
     /// Stops accepting and closes every connection immediately.
     void closeAll();
 
-    /// Whether a connection has a request in progress or unparsed bytes.
-    bool hasBusyConnections() const;
+    /// Number of connections on which a request, or a part of one, has arrived whose response is not sent yet.
+    std::size_t unansweredRequests() const;
     /// Number of open connections.
     std::size_t connectionCount() const;
     const ServerCounters &counters() const
@@ -47,6 +50,7 @@
 
 private:
     void accept();
+    void addConnection(boost::asio::ip::tcp::socket socket);
     void removeExpired();
 
     boost::asio::ip::tcp::acceptor m_acceptor;
--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -21,6 +21,8 @@
 // Time for the client to read the last response before the connection is closed. Closing a socket with unread data resets the
 // connection, which can discard the response.
 constexpr Millis lingerTimeout = 500_ms;
+// While the listener drains, a new connection gets this time for its first request.
+constexpr Millis drainingIdleTimeout = 500_ms;
 
 std::string_view toView(boost::beast::string_view text)
 {
@@ -60,6 +62,8 @@
         return provisional ? 503 : 413;
     case RejectReason::Incomplete:
         return 408;
+    case RejectReason::Draining:
+        return 503;
     }
     return 400;
 }
@@ -68,7 +72,8 @@
 
 std::string_view nameOf(RejectReason reason)
 {
-    constexpr std::array<std::string_view, rejectReasonCount> names{"malformed", "head-too-large", "body-too-large", "incomplete"};
+    constexpr std::array<std::string_view, rejectReasonCount> names{
+        "malformed", "head-too-large", "body-too-large", "incomplete", "draining"};
     return names[static_cast<std::size_t>(reason)];
 }
 
@@ -118,13 +123,18 @@
         parseBuffered();
         return;
     }
-    if (m_listener->draining) {
-        close();
-        return;
-    }
     m_idleSince = Process::steadyNow();
-    startTimer(m_listener->limits.idleTimeout);
+    startTimer(idleTimeout());
     read();
+    if (m_listener->draining) {
+        beginDraining();
+    }
+}
+
+Millis ServerConnection::idleTimeout() const
+{
+    const auto timeout = m_listener->limits.idleTimeout;
+    return m_listener->draining ? std::min(timeout, drainingIdleTimeout) : timeout;
 }
 
 bool ServerConnection::requestBegins()
@@ -270,7 +280,9 @@
         return;
     }
     m_state = State::Writing;
-    m_keepAlive = m_keepAlive && response.keepAlive && !m_listener->draining;
+    m_hasResponded = true;
+    // Pipelined requests that have arrived are answered before the connection is closed.
+    m_keepAlive = m_keepAlive && response.keepAlive && (!m_listener->draining || m_buffer.size() > 0);
     response.keepAlive = m_keepAlive;
     if (m_keepAlive) {
         const auto seconds = static_cast<int>(m_listener->limits.idleTimeout / 1_s);
@@ -331,9 +343,29 @@
     }
 }
 
-void ServerConnection::closeIfIdle()
+void ServerConnection::beginDraining()
+{
+    if (m_state != State::Reading || m_requestStarted || m_buffer.size() > 0) {
+        return;
+    }
+    // A request may be on its way on a new connection, and bytes of one may have arrived that are not read yet.
+    boost::system::error_code ec;
+    const bool awaitsRequest = !m_hasResponded || m_socket.available(ec) > 0;
+    if (awaitsRequest && !ec) {
+        startTimer(idleTimeout());
+    } else {
+        close();
+    }
+}
+
+void ServerConnection::refuseIncompleteRequest()
 {
-    if (m_state == State::Reading && !m_requestStarted && m_buffer.size() == 0) {
+    if (m_state != State::Reading) {
+        return;
+    }
+    if (m_requestStarted) {
+        reject(RejectReason::Draining);
+    } else {
         close();
     }
 }
@@ -369,8 +401,8 @@
         return;
     }
     if (!m_requestStarted) {
-        // The timeout may have been raised since the timer was set.
-        const auto left = m_idleSince + m_listener->limits.idleTimeout - Process::steadyNow();
+        // The timeout may have been changed since the timer was set.
+        const auto left = m_idleSince + idleTimeout() - Process::steadyNow();
         if (left > 0_ms) {
             startTimer(left);
         } else {
--- a/src/http/serverconnection.h
+++ b/src/http/serverconnection.h
@@ -40,9 +40,11 @@
     BodyTooLarge,
     /// The request was not received completely in time.
     Incomplete,
+    /// The listener was about to close before the request had been received completely.
+    Draining,
 };
 
-constexpr std::size_t rejectReasonCount = 4;
+constexpr std::size_t rejectReasonCount = 5;
 /// Name of a reason in lower case with hyphens.
 std::string_view nameOf(RejectReason reason);
 
@@ -104,7 +106,7 @@
     ServerLimits limits;
     ServerCounters counters;
     std::uint64_t nextRequestId = 1;
-    /// Whether each connection is closed after its current response and idle connections are closed.
+    /// Whether each connection is closed after the responses to the requests that it has received.
     bool draining = false;
 };
 
@@ -120,13 +122,19 @@
     void respond(std::uint64_t requestId, Response response);
     /// Closes the connection if the request `requestId` is still pending.
     void abort(std::uint64_t requestId);
-    /// Closes the connection unless a request is being read or answered.
-    void closeIfIdle();
+    /// Called when the listener begins to drain: closes the connection if it is idle.
+    void beginDraining();
+    /// Ends a connection that has not received a complete request: rejects the request if a part of it has arrived, else closes.
+    void refuseIncompleteRequest();
     void close();
-    /// Whether a request is in progress or bytes are left to parse.
-    bool busy() const
+    /// Whether a request, or a part of one, has arrived whose response is not sent yet.
+    bool hasUnansweredRequest() const
     {
-        return m_state == State::AwaitingResponse || m_state == State::Writing || m_buffer.size() > 0;
+        return m_state == State::AwaitingResponse || m_state == State::Writing || (m_state == State::Reading && m_requestStarted);
+    }
+    bool closed() const
+    {
+        return m_state == State::Closed;
     }
 
 private:
@@ -151,6 +159,7 @@
     void onWritten(const boost::system::error_code &ec);
     void linger();
     void onClientDisconnected();
+    Millis idleTimeout() const;
     void startTimer(Millis timeout);
     void onTimeout();
 
@@ -170,7 +179,10 @@
     /// When the connection was last without a request, on the steady clock.
     Millis m_idleSince{};
     bool m_readPending = false;
+    /// Whether a byte of the request that is being read has arrived.
     bool m_requestStarted = false;
+    /// Whether a response has been sent on this connection.
+    bool m_hasResponded = false;
     bool m_continueSent = false;
     bool m_headRequest = false;
     bool m_keepAlive = true;
