During a planned stop, calls that may not be over by its end are refused at once as not run

Cause: a daemon that drains passed each call on whatever its deadline was; no decision compared it with what was left of the grace period.

Change: core/placement/DrainWindow decides it, without input or output. In the first half of the grace period a call is sent if calls usually take less than half of what is left, and at any time if its deadline lies before the end. Others are refused before a probe is sent for them, as are calls that wait and retries; Retry-After is 0, since other daemons have room.

--- a/src/core/dispatch/call.h
+++ b/src/core/dispatch/call.h
@@ -65,6 +65,8 @@
     NoUpstream,
     /// No upstream could serve the call in time.
     Overloaded,
+    /// The daemon is being stopped, and the call might not be over by then.
+    Draining,
 };
 
 /// Name of `reason` in answers to callers.
--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -57,6 +57,8 @@
         return "no-upstream";
     case RefusalReason::Overloaded:
         return "overloaded";
+    case RefusalReason::Draining:
+        return "draining";
     }
     return "unknown";
 }
--- a/src/core/placement/servicedispatcher.cpp
+++ b/src/core/placement/servicedispatcher.cpp
@@ -127,12 +127,24 @@
         m_calls.erase(spec.id);
         return;
     }
+    // Refused before any probe is sent for it.
+    if (endsTooSoonFor(spec, now)) {
+        giveUp(call, now, actions);
+        m_calls.erase(spec.id);
+        return;
+    }
     startSearch(call, Search::First, now, actions);
     if (advanceSearch(call, now, actions)) {
         m_calls.erase(spec.id);
     }
 }
 
+void ServiceDispatcher::drain(const DrainWindow &window, Millis now, Actions &actions)
+{
+    m_drainWindow = window;
+    advanceSearches(now, actions);
+}
+
 void ServiceDispatcher::endCalls(Millis now, Actions &actions)
 {
     for (auto &[id, it] : m_calls) {
@@ -143,6 +155,11 @@
     m_calls.clear();
 }
 
+bool ServiceDispatcher::endsTooSoonFor(const CallSpec &spec, Millis now) const
+{
+    return m_drainWindow && !m_drainWindow->allows(now, spec.deadline, m_latencyModel.typicalLatency());
+}
+
 void ServiceDispatcher::startSearch(OpenCall &call, Search search, Millis now, Actions &actions)
 {
     call.search = search;
@@ -337,6 +354,9 @@
     if (call.search == Search::None) {
         return false;
     }
+    if (endsTooSoonFor(call.spec, now)) {
+        return endSearch(call, now, actions);
+    }
     const auto choice = bestChoice(call, now);
     const bool suitable = choice && isSuitable(call, *choice, now);
     // Upstreams that do not report load show a free slot by answering the probe quickly, so the first preferred one that answers is
@@ -366,9 +386,7 @@
         return false;
     }
     if (call.search == Search::Hedge) {
-        call.search = Search::None;
-        call.hedgeAt = call.spec.deadline;
-        return false;
+        return endSearch(call, now, actions);
     }
     const auto roomAt = upstreamsLeaveRoomAt(call, now);
     if (now >= waitLimit(call) || !roomAt || *roomAt > waitLimit(call)) {
@@ -388,6 +406,17 @@
     return false;
 }
 
+bool ServiceDispatcher::endSearch(OpenCall &call, Millis now, Actions &actions)
+{
+    // The first attempt goes on if there is no hedge.
+    if (call.search == Search::Hedge) {
+        call.search = Search::None;
+        call.hedgeAt = call.spec.deadline;
+        return false;
+    }
+    return giveUp(call, now, actions);
+}
+
 std::optional<Millis> ServiceDispatcher::upstreamsLeaveRoomAt(const OpenCall &call, Millis now) const
 {
     std::optional<Millis> unlimitedAt;
@@ -484,6 +513,11 @@
         return true;
     }
     ++m_counters.refused;
+    if (endsTooSoonFor(call.spec, now)) {
+        // Other daemons have room, so the caller need not wait.
+        actions.emplace_back(Dispatch::RefuseCall{.call = call.spec.id, .reason = RefusalReason::Draining, .retryAfter = 0_ms});
+        return true;
+    }
     actions.emplace_back(
         Dispatch::RefuseCall{.call = call.spec.id, .reason = RefusalReason::Overloaded, .retryAfter = retryAfter(call, now)});
     return true;
--- a/src/core/placement/servicedispatcher.h
+++ b/src/core/placement/servicedispatcher.h
@@ -3,6 +3,7 @@
 
 #include "core/dispatch/call.h"
 #include "core/millis.h"
+#include "core/placement/drainwindow.h"
 #include "core/placement/latencymodel.h"
 #include "core/placement/loadreport.h"
 #include "core/placement/placementoptions.h"
@@ -85,6 +86,8 @@
         CallId call, AttemptNumber attempt, AttemptOutcome outcome, const std::optional<LoadReport> &load, Millis now, Actions &actions);
     /// Drops a call that nobody waits for any more and cancels its attempts.
     void cancel(CallId call, Millis now, Actions &actions);
+    /// From now on, sends only calls that `window` allows; others that were not sent yet are refused.
+    void drain(const DrainWindow &window, Millis now, Actions &actions);
     /// Ends all calls with what is known of them and cancels their attempts.
     void endCalls(Millis now, Actions &actions);
     /// Adds outcomes that other daemons observed.
@@ -267,10 +270,14 @@
     /// Of the upstreams selected for probing, the one with the fewest calls of this daemon; used if probe tokens ran out.
     std::optional<Choice> fallbackChoice(const OpenCall &call, Millis now) const;
     bool wouldMissObjective(const OpenCall &call, Millis now) const;
+    /// Whether the daemon is being stopped too soon for another attempt of the call.
+    bool endsTooSoonFor(const CallSpec &spec, Millis now) const;
     /// Whether sending the call, which would be late anyway, would take a slot from a call that can still be in time.
     bool displacesTimelyCalls(const OpenCall &call, Millis now) const;
     void updatePressure(OpenCall &call, bool noneSuitable);
     void send(OpenCall &call, const Choice &choice, Millis now, Actions &actions);
+    /// Ends a search that found no upstream. Returns whether the call is over.
+    bool endSearch(OpenCall &call, Millis now, Actions &actions);
     /// Ends the call with the best known result. Always returns true: the call is over.
     bool giveUp(OpenCall &call, Millis now, Actions &actions);
     bool mayRetry(const OpenCall &call, AttemptOutcome outcome, Millis now) const;
@@ -294,6 +301,8 @@
     std::optional<Millis> upstreamsLeaveRoomAt(const OpenCall &call, Millis now) const;
 
     PlacementOptions m_options;
+    /// Set while the daemon is being stopped.
+    std::optional<DrainWindow> m_drainWindow;
     std::mt19937_64 m_random;
     UpstreamSet m_upstreams;
     std::map<CallId, OpenCall> m_calls;
--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -17,6 +17,10 @@
 // process needs that time to deliver these answers and to exit by itself.
 constexpr double drainShare = 0.85;
 constexpr Millis maxShutdownTime = 900_ms;
+// Time between the end of the last calls and that point, for their answers.
+constexpr Millis lastAnswersTime = 100_ms;
+// Share of the grace period after which only calls whose deadline leaves enough time are accepted.
+constexpr double unrestrictedShare = 0.5;
 // Longest time for which a daemon that left the entry lists still accepts connections: callers with an older list still connect.
 constexpr Millis acceptTimeAfterLeaving = 2500_ms;
 
@@ -86,9 +90,12 @@
 std::size_t Node::drain()
 {
     m_drainStartedAt = Process::steadyNow();
-    const auto drainTimeout = drainTimeoutOf(m_settings.bounds.gracePeriod);
+    const auto gracePeriod = m_settings.bounds.gracePeriod;
+    const auto drainTimeout = drainTimeoutOf(gracePeriod);
+    const Placement::DrainWindow window{.lateFrom = m_drainStartedAt + gracePeriod * unrestrictedShare,
+                                        .end = m_drainStartedAt + drainTimeout - lastAnswersTime};
     boost::asio::post(m_controlLoop, [this] { m_control->drain(); });
-    boost::asio::post(m_trafficLoop, [this] { m_traffic->drain(); });
+    boost::asio::post(m_trafficLoop, [this, window] { m_traffic->drain(window); });
     std::this_thread::sleep_for(Process::toChrono(std::min(acceptTimeAfterLeaving, drainTimeout * 0.5)));
     runAndWait(m_trafficLoop, [this] {
         m_traffic->stopAccepting();
--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -288,6 +288,10 @@
     if (!service) {
         service = std::make_unique<Service>(m_loop, placementOptions(), m_probeTokens, m_random());
         service->name = name;
+        if (m_drainWindow) {
+            Dispatch::Actions none;
+            service->dispatcher.drain(*m_drainWindow, steadyNow(), none);
+        }
     }
     return *service;
 }
@@ -765,9 +769,15 @@
     });
 }
 
-void Traffic::drain()
+void Traffic::drain(const Placement::DrainWindow &window)
 {
+    m_drainWindow = window;
     m_front.beginDraining();
+    for (const auto &[name, service] : m_services) {
+        Dispatch::Actions actions;
+        service->dispatcher.drain(window, steadyNow(), actions);
+        execute(*service, actions);
+    }
 }
 
 void Traffic::stopAccepting()
--- a/src/entry/traffic.h
+++ b/src/entry/traffic.h
@@ -97,8 +97,8 @@
     void setBounds(const NodeBounds &bounds);
     /// Records observations that another daemon reported.
     void recordPeerObservations(const Observations &observations);
-    /// Closes connections of callers once they are idle; still accepts new ones and serves their calls.
-    void drain();
+    /// Closes connections of callers once they are idle; still accepts new ones. Calls that `window` does not allow are refused.
+    void drain(const Placement::DrainWindow &window);
     /// Accepts no more connections of callers; calls in flight continue.
     void stopAccepting();
     /// Ends all calls and rejects requests that have not arrived completely.
@@ -231,6 +231,8 @@
     Http::Listener m_readiness;
     Http::Listener m_directory;
     UpstreamConnections m_connections;
+    /// Set while the daemon is being stopped.
+    std::optional<Placement::DrainWindow> m_drainWindow;
     /// Limits the probes of all services of this daemon together.
     Retry::TokenBucket m_probeTokens;
     std::map<std::string, std::unique_ptr<Service>, std::less<>> m_services;
--- a/tests/entry/draining.cpp
+++ b/tests/entry/draining.cpp
@@ -102,6 +102,22 @@
     CHECK(system.executedCalls() == 2);
 }
 
+// Guards against calls that are passed on late in the grace period and cut at its end.
+TEST_CASE("A call that comes late in the grace period with a later deadline is refused as not run and reaches no upstream")
+{
+    StoppedSystem system(2_s);
+    auto &late = system.connect(0);
+    late.send(uploadHead("late", 20000, 6) + "abc");
+    system.sendSigterm();
+    const auto half = std::chrono::steady_clock::now() + std::chrono::milliseconds(1200);
+    system.runUntil([&] { return std::chrono::steady_clock::now() >= half; });
+    late.send("def");
+    CHECK(system.runUntil([&] { return late.ended; }));
+    CHECK(late.received.starts_with("HTTP/1.1 503 "));
+    CHECK(system.executedCalls() == 0);
+    CHECK(system.unansweredCalls() == 0);
+}
+
 TEST_CASE("A call whose upstream does not answer within the grace period gets 502, and one that was not received completely gets 503")
 {
     StoppedSystem system(500_ms);
