The daemon of the product's own interface passes on no call after its last look at those in flight

Callers could see: a call that came between the end of the drain and the end of the process was passed on to an upstream and cut off.

Cause: the drain ended once no call was in flight, and the servers, which cut what they handle, stopped after that; calls of callers with an old entry list or a kept connection were passed on until then.

Change: once the entry lists have run out, calls that come are refused as not run; a call counts as in flight before that is checked, so that the last look misses none.

--- a/src/daemon/callhandler.cpp
+++ b/src/daemon/callhandler.cpp
@@ -139,8 +139,14 @@
     if (path == entriesPath) {
         handleEntries(request);
     } else if (path.starts_with(callPrefix)) {
+        // Counted before the check, so that whoever waits for the calls in flight after refuseCalls() waits for this one.
         ++m_counters.inFlight;
-        handleCall(request);
+        if (m_refusing) {
+            Call call{.request = request, .requestId = requestIdOf(request)};
+            sendFailure(call, CallFailure::NotRun, nameOf(Dispatch::RefusalReason::Draining));
+        } else {
+            handleCall(request);
+        }
         --m_counters.inFlight;
     } else {
         Call call{.request = request, .requestId = requestIdOf(request)};
--- a/src/daemon/callhandler.h
+++ b/src/daemon/callhandler.h
@@ -72,6 +72,11 @@
     {
         m_draining = true;
     }
+    /// Refuses the calls that come from now on; those that are being handled go on.
+    void refuseCalls()
+    {
+        m_refusing = true;
+    }
     const CallCounters &counters() const
     {
         return m_counters;
@@ -103,6 +108,7 @@
     std::atomic<std::uint64_t> m_entryRotation = 0;
     std::uint64_t m_runId;
     std::atomic<bool> m_draining = false;
+    std::atomic<bool> m_refusing = false;
 };
 
 }
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -114,7 +114,12 @@
     const auto entryListsExpired = started + m_settings.entryTtl + entryListMargin;
     const auto deadline = started + m_settings.entryTtl + m_settings.drainTimeout;
     const auto hasCallsInFlight = [this] { return m_calls.counters().inFlight > 0; };
-    while (steadyNow() < entryListsExpired || (hasCallsInFlight() && steadyNow() < deadline)) {
+    while (steadyNow() < entryListsExpired) {
+        std::this_thread::sleep_for(Process::toChrono(drainPollInterval));
+    }
+    // A call that comes after the last look at those in flight would be cut off by stop().
+    m_calls.refuseCalls();
+    while (hasCallsInFlight() && steadyNow() < deadline) {
         std::this_thread::sleep_for(Process::toChrono(drainPollInterval));
     }
     const auto abortedCalls = m_calls.counters().inFlight.load();
--- a/tests/daemon/calls.cpp
+++ b/tests/daemon/calls.cpp
@@ -269,3 +269,15 @@
     CHECK(response.head.status == 200);
     CHECK(response.body.starts_with("received=1\n"));
 }
+
+// Guards against calls that are passed on after the last look at those in flight and cut off when the servers stop.
+TEST_CASE("A call that comes after a daemon has drained is refused as not run and reaches no upstream")
+{
+    System system(2, 1);
+    system.deploy();
+    REQUIRE(system.daemon(1).drain());
+    const auto response = system.call(1, "POST", "s/tap", {{"Idempotency-Key", "late"}}, "x");
+    CHECK(response.head.status == 503);
+    CHECK(response.body.find("draining") != std::string::npos);
+    CHECK(system.upstream(0).keyCounts().find("late") == std::string::npos);
+}
