Bodies of requests and answers together stay within a share of the host's memory

Cause: each message had a bound, all together had none; an upload was held up to three times, an answer twice and for as long as its caller did not read it.

Change: core/BufferBudget, derived from memory-mb, counts the bodies of requests and answers. Without room the daemon stops reading from that connection; a request that finds none for a second is refused with 503, an attempt ends at its deadline. Small bodies have room of their own. A body is held once. A caller that does not read an answer within the idle timeout is disconnected. Answers to probes and of the store have bounds of their own. attemptHead() returns no body any more, so its test checks the shared body of the call instead.

--- a/src/entry/admin.cpp
+++ b/src/entry/admin.cpp
@@ -62,6 +62,14 @@
               "Requests rejected before they were decoded.",
               prometheus::MetricType::Counter,
               std::move(rejected));
+    addGauge(families,
+             "laburnummast_buffered_bytes",
+             "Memory reserved for bodies of calls and answers.",
+             static_cast<double>(counters.bufferedBytes));
+    addGauge(families,
+             "laburnummast_buffered_bytes_peak",
+             "Most memory that was reserved for bodies of calls and answers.",
+             static_cast<double>(counters.peakBufferedBytes));
     addCounter(families, "laburnummast_attempts_total", "Attempts sent to upstreams.", counters.placement.sent);
     addCounter(families, "laburnummast_retries_total", "Attempts after another one failed.", counters.placement.retries);
     addCounter(families, "laburnummast_hedges_total", "Attempts beside one that was late.", counters.placement.hedges);
--- a/src/entry/call.h
+++ b/src/entry/call.h
@@ -6,6 +6,7 @@
 #include "http/message.h"
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -25,7 +26,8 @@
     std::string target;
     /// Without headers that apply to one connection only or that are set for each attempt.
     Http::Headers headers;
-    std::string body;
+    /// Shared with the attempts that send it; never null.
+    std::shared_ptr<const std::string> body;
     /// How long the caller waits for the answer; empty if the request does not say.
     std::optional<Millis> callerTimeout;
 };
--- a/src/entry/nodesettings.h
+++ b/src/entry/nodesettings.h
@@ -59,6 +59,8 @@
     Address store;
     /// Capacity of this host's link, in megabits per second.
     double linkMegabits = 10;
+    /// Memory that this daemon may use, in megabytes (1,000,000 bytes).
+    double memoryMegabytes = 256;
     /// CPU share of this daemon; without effect.
     double cpuShare = 1;
     NodeBounds bounds;
--- a/src/entry/topicfollower.cpp
+++ b/src/entry/topicfollower.cpp
@@ -16,6 +16,8 @@
 constexpr Millis responseTimeout = 700_ms;
 // Longest time for a whole response: a page of 1 MB takes seconds on a slow link.
 constexpr Millis totalTimeout = 20_s;
+// The store sends at most a megabyte of records at once, which takes a third more in the encoding of a snapshot.
+constexpr std::uint64_t maxResponseBytes = 8388608;
 // Pause after new records. Records usually appear in groups, so the next request gets the rest of a group at once.
 constexpr Millis batchDelay = 100_ms;
 constexpr Millis initialBackoff = 100_ms;
@@ -96,6 +98,7 @@
         {.bytes = Http::encode(requestWithHost),
          .timeout = totalTimeout,
          .progressTimeout = progressTimeout,
+         .maxBodyBytes = maxResponseBytes,
          .matchesRequest = nullptr,
          .onResult = [this, activation = m_activation, onResponse = std::move(onResponse)](const Http::ClientResult &result) {
              if (activation != m_activation) {
--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -35,6 +35,9 @@
 constexpr double probeBurstSeconds = 5;
 // Answers up to this size are accepted whatever the routes allow for requests; a longer one takes too much of the daemon's memory.
 constexpr std::uint64_t minAnswerBytesLimit = 67108864;
+constexpr double bytesPerMegabyte = 1000000;
+// Longest body of a response to a probe; what counts is in its head.
+constexpr std::uint64_t maxProbeBodyBytes = 65536;
 // Longest request body on the readiness and directory listeners.
 constexpr std::uint64_t maxQueryBodyBytes = 65536;
 
@@ -146,6 +149,8 @@
     , m_settings(settings)
     , m_onObservations(std::move(onObservations))
     , m_view(std::make_shared<NodeView>())
+    , m_budget(std::make_shared<BufferBudget>(
+          BufferBudgetOptions::forMemory(static_cast<std::uint64_t>(std::max(0.0, settings.memoryMegabytes) * bytesPerMegabyte))))
     , m_front(loop,
               {.onRequest = [this](Http::Request request,
                                    const Http::Responder &responder,
@@ -169,6 +174,7 @@
     , m_random(XXH3_64bits(settings.host.data(), settings.host.size()))
 {
     m_front.setLimits({.provisional = true});
+    m_front.setBufferBudget(m_budget);
 }
 
 Traffic::~Traffic() = default;
@@ -420,6 +426,7 @@
     const auto &ip = m_connections.addressOf(id)->ip;
     connection->start({.bytes = Http::encode(Platform::probeRequest(service.healthPath, ip)),
                        .timeout = probeTimeout,
+                       .maxBodyBytes = maxProbeBodyBytes,
                        .matchesRequest = Platform::isResponseToProbe,
                        .onResult = [this, &service, id, connection, ended, sent = SentRequest{id, spec.startedAt, now}](
                                        const Http::ClientResult &result) {
@@ -470,9 +477,11 @@
           };
     const auto left = openCall.spec.deadline - now;
     attempt.connection->start(
-        {.bytes = Http::encode(Platform::encodeAttempt(openCall.call, id, left)),
+        {.bytes = Http::encodeHead(Platform::attemptHead(openCall.call, id, left), openCall.call.body->size()),
+         .body = openCall.call.body,
          .timeout = left + answerGrace,
          .maxBodyBytes = maxAnswerBytes(),
+         .budget = m_budget,
          .headRequest = openCall.call.method == "HEAD",
          .matchesRequest = [callId = openCall.call.id](const Http::Response &it) { return Platform::isResponseToCall(it, callId); },
          .onResult = onResult});
@@ -808,6 +817,8 @@
     const auto connections = m_connections.counters();
     TrafficCounters counters{.ended = m_endCounts,
                              .rejected = m_front.counters().rejected,
+                             .bufferedBytes = m_budget->reservedBytes(),
+                             .peakBufferedBytes = m_budget->peakBytes(),
                              .connectionsOpened = connections.opened,
                              .connectionsReused = connections.reused,
                              .suppressedLogLines = m_callLog.suppressedCount(),
--- a/src/entry/traffic.h
+++ b/src/entry/traffic.h
@@ -61,6 +61,9 @@
     std::array<std::uint64_t, callEndCount> ended{};
     /// Requests of callers that were rejected before they were decoded, indexed by `Http::RejectReason`.
     std::array<std::uint64_t, Http::rejectReasonCount> rejected{};
+    /// Memory reserved for bodies of calls and answers, now and at most; not counters.
+    std::uint64_t bufferedBytes = 0;
+    std::uint64_t peakBufferedBytes = 0;
     std::uint64_t connectionsOpened = 0;
     std::uint64_t connectionsReused = 0;
     std::uint64_t suppressedLogLines = 0;
@@ -227,6 +230,8 @@
     NodeSettings m_settings;
     OnObservations m_onObservations;
     std::shared_ptr<const NodeView> m_view;
+    /// For the bodies of calls and answers.
+    std::shared_ptr<BufferBudget> m_budget;
     Http::Listener m_front;
     Http::Listener m_readiness;
     Http::Listener m_directory;
--- a/src/http/clientconnection.cpp
+++ b/src/http/clientconnection.cpp
@@ -4,6 +4,7 @@
 #include "process/wallclock.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/write.hpp>
 #include <chrono>
 
@@ -19,6 +20,8 @@
 constexpr std::uint32_t maxHeadBytes = 65536;
 // Interim responses and responses to other requests that are discarded in one exchange before it is given up.
 constexpr int maxDiscardedResponses = 100;
+// How often a connection that waits for memory checks for it.
+constexpr std::chrono::milliseconds memoryCheckInterval(10);
 // Assumed keep-alive timeout of a server that does not announce one; a common server default.
 constexpr Millis defaultKeepAlive = 5_s;
 
@@ -130,13 +133,14 @@
 {
     m_state = State::Exchanging;
     resetParser();
-    Asio::async_write(
-        m_socket, Asio::buffer(m_exchange.bytes), [self = shared_from_this(), exchange = m_exchangeCount](const auto &ec, std::size_t) {
-            if (self->m_exchangeCount != exchange || self->m_state != State::Exchanging) {
-                return;
-            }
-            self->onRequestSent(ec);
-        });
+    const std::array<Asio::const_buffer, 2> buffers{Asio::buffer(m_exchange.bytes),
+                                                    m_exchange.body ? Asio::buffer(*m_exchange.body) : Asio::const_buffer()};
+    Asio::async_write(m_socket, buffers, [self = shared_from_this(), exchange = m_exchangeCount](const auto &ec, std::size_t) {
+        if (self->m_exchangeCount != exchange || self->m_state != State::Exchanging) {
+            return;
+        }
+        self->onRequestSent(ec);
+    });
     read();
 }
 
@@ -152,6 +156,7 @@
 void ClientConnection::resetParser()
 {
     m_parser.emplace();
+    m_reservation.reset();
     // Not eager: an eager parser goes on to the body when the head's Content-Length is beyond the limit, and reserves that length.
     m_parser->skip(m_exchange.headRequest);
     m_parser->header_limit(maxHeadBytes);
@@ -212,6 +217,10 @@
             break;
         }
     }
+    if (!reserveBody()) {
+        waitForMemory();
+        return;
+    }
     if (m_parser->is_done()) {
         onResponse();
         return;
@@ -224,6 +233,32 @@
     read();
 }
 
+bool ClientConnection::reserveBody()
+{
+    if (!m_exchange.budget || !m_parser->is_header_done()) {
+        return true;
+    }
+    if (!m_reservation) {
+        m_reservation = std::make_shared<BufferReservation>(m_exchange.budget, BufferUse::Answer);
+    }
+    const auto length = m_exchange.headRequest ? 0 : m_parser->content_length();
+    return m_reservation->raiseTo(length ? *length : m_parser->get().body().capacity());
+}
+
+void ClientConnection::waitForMemory()
+{
+    if (!m_exchange.budget->canHold(BufferUse::Answer, m_parser->content_length().value_or(0))) {
+        fail(ClientError::TooLarge);
+        return;
+    }
+    m_memoryTimer.emplace(m_socket.get_executor(), memoryCheckInterval);
+    m_memoryTimer->async_wait([self = shared_from_this(), exchange = m_exchangeCount](const auto &ec) {
+        if (!ec && self->m_exchangeCount == exchange && self->m_state == State::Exchanging) {
+            self->parseBuffered();
+        }
+    });
+}
+
 // The end of the stream alone does not tell a complete response from one that a reset cut off: a socket reports a reset only once, and a
 // write that is pending takes it first, after which reads end like those of a closed stream. So the write decides.
 void ClientConnection::onStreamEnded()
@@ -246,6 +281,7 @@
 {
     const bool endsConnection = m_parser->need_eof();
     auto response = toResponse(m_parser->release());
+    response.reservation = std::move(m_reservation);
     if (response.status < 200 || (m_exchange.matchesRequest && !m_exchange.matchesRequest(response))) {
         if (endsConnection) {
             fail(ClientError::ConnectionLost);
@@ -308,6 +344,8 @@
     }
     m_state = State::Closed;
     m_timer.cancel();
+    m_memoryTimer.reset();
+    m_reservation.reset();
     boost::system::error_code ec;
     m_socket.close(ec);
 }
--- a/src/http/clientconnection.h
+++ b/src/http/clientconnection.h
@@ -46,14 +46,18 @@
 /// One request and the handling of its response.
 struct Exchange
 {
-    /// The complete request in wire format; empty, with `onResult` unset, if there is no exchange.
+    /// The complete request in wire format, or its head alone if there is a `body`; empty, with `onResult` unset, if there is no exchange.
     std::string bytes;
+    /// Body that is sent after `bytes`; may be null.
+    std::shared_ptr<const std::string> body = nullptr;
     /// Limit for the whole exchange, including a connect.
     Millis timeout{1000};
     /// Limit for the time without a byte from the server; empty for none but `timeout`.
     std::optional<Millis> progressTimeout;
     /// Longest body of a response that is accepted.
     std::uint64_t maxBodyBytes = 67108864;
+    /// Limits the memory for the body of the response; null for no limit but `maxBodyBytes`.
+    std::shared_ptr<BufferBudget> budget = nullptr;
     /// Whether this is a HEAD request, whose response has no body.
     bool headRequest = false;
     /// Responses for which this returns false belong to another request and are discarded; if unset, every response is accepted.
@@ -127,15 +131,23 @@
     void parseBuffered();
     void onStreamEnded();
     void onResponse();
+    /// Reserves memory for the body that is being received; returns false if there is none at present.
+    bool reserveBody();
+    /// Stops reading, so that the server stops sending, until there is memory for the body.
+    void waitForMemory();
     void finish(ClientResult result);
     void fail(ClientError error);
     void startTimer();
 
     boost::asio::ip::tcp::socket m_socket;
     boost::asio::steady_timer m_timer;
+    /// Set while the connection waits for memory.
+    std::optional<boost::asio::steady_timer> m_memoryTimer;
     boost::asio::ip::tcp::endpoint m_server;
     boost::beast::flat_buffer m_buffer;
     std::optional<Parser> m_parser;
+    /// For the body that is being received; null before its head is complete or without a budget.
+    std::shared_ptr<BufferReservation> m_reservation;
     Exchange m_exchange;
     State m_state = State::Idle;
     bool m_connected = false;
--- a/src/http/listener.cpp
+++ b/src/http/listener.cpp
@@ -90,6 +90,11 @@
     m_state->limits = limits;
 }
 
+void Listener::setBufferBudget(std::shared_ptr<BufferBudget> budget)
+{
+    m_state->budget = std::move(budget);
+}
+
 void Listener::beginDraining()
 {
     m_state->draining = true;
--- a/src/http/listener.h
+++ b/src/http/listener.h
@@ -27,6 +27,8 @@
     std::optional<boost::system::error_code> start(const boost::asio::ip::tcp::endpoint &endpoint);
     /// Later requests and responses use the new limits, also on open connections.
     void setLimits(const ServerLimits &limits);
+    /// Limits the memory for the bodies of requests. To be called before start().
+    void setBufferBudget(std::shared_ptr<BufferBudget> budget);
     /// Closes idle connections now and each other one after the responses to the requests that it has received. New connections are
     /// still accepted, and closed after their first response.
     void beginDraining();
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -86,22 +86,25 @@
     return {reason.data(), reason.size()};
 }
 
-std::string encode(const Request &request)
+std::string encodeHead(const Request &request, std::size_t bodyBytes)
 {
     auto text = Text::concat(request.method, " ", request.target, " HTTP/1.1\r\n");
     for (const auto &it : request.headers) {
         Text::append(text, it.name, ": ", it.value, "\r\n");
     }
-    const bool sendsContentLength
-        = !request.body.empty() || request.method == "POST" || request.method == "PUT" || request.method == "PATCH";
-    if (sendsContentLength) {
-        Text::append(text, "Content-Length: ", request.body.size(), "\r\n");
+    if (bodyBytes > 0 || request.method == "POST" || request.method == "PUT" || request.method == "PATCH") {
+        Text::append(text, "Content-Length: ", bodyBytes, "\r\n");
     }
-    Text::append(text, "\r\n", request.body);
+    Text::append(text, "\r\n");
     return text;
 }
 
-std::string encode(const Response &response, bool hasBody)
+std::string encode(const Request &request)
+{
+    return encodeHead(request, request.body.size()) + request.body;
+}
+
+std::string encodeHead(const Response &response, bool hasBody)
 {
     auto text = Text::concat("HTTP/1.1 ", response.status, " ", reasonPhrase(response.status), "\r\n");
     for (const auto &it : response.headers) {
@@ -114,9 +117,6 @@
         Text::append(text, "Content-Length: ", response.body.size(), "\r\n");
     }
     Text::append(text, "\r\n");
-    if (hasBody) {
-        Text::append(text, response.body);
-    }
     return text;
 }
 
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -1,7 +1,10 @@
 #ifndef LABURNUMMAST_HTTP_MESSAGE_H
 #define LABURNUMMAST_HTTP_MESSAGE_H
 
+#include "core/bufferbudget.h"
+
 #include <cstddef>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -26,6 +29,8 @@
     std::string target;
     Headers headers;
     std::string body;
+    /// Memory that is reserved for the body; null if it is not counted.
+    std::shared_ptr<BufferReservation> reservation = nullptr;
     /// Whether the connection stays open after the response.
     bool keepAlive = true;
 };
@@ -36,6 +41,8 @@
     int status = 200;
     Headers headers;
     std::string body;
+    /// Memory that is reserved for the body; null if it is not counted.
+    std::shared_ptr<BufferReservation> reservation = nullptr;
     /// Whether the connection stays open after this response.
     bool keepAlive = true;
 };
@@ -52,11 +59,13 @@
 /// Standard reason phrase of a status code; a placeholder for an unknown code.
 std::string_view reasonPhrase(int status);
 
-/// Encodes a request for the wire; adds `Content-Length` if the body is not empty or the method is POST, PUT or PATCH.
+/// Encodes the head of a request whose body has `bodyBytes`; adds `Content-Length` if that is not 0 or the method is POST, PUT or PATCH.
+std::string encodeHead(const Request &request, std::size_t bodyBytes);
+/// Encodes a request for the wire, with its body.
 std::string encode(const Request &request);
 
-/// Encodes a response for the wire; body and `Content-Length` are omitted if `hasBody` is false.
-std::string encode(const Response &response, bool hasBody);
+/// Encodes the head of a response; `Content-Length` is omitted if `hasBody` is false.
+std::string encodeHead(const Response &response, bool hasBody);
 
 /// Path of a target, without its query.
 std::string_view pathOf(std::string_view target);
--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -23,6 +23,11 @@
 constexpr Millis lingerTimeout = 500_ms;
 // While the listener drains, a new connection gets this time for its first request.
 constexpr Millis drainingIdleTimeout = 500_ms;
+// Longest part of a body that is written at once; the client has to read it within the idle timeout.
+constexpr std::size_t maxWriteBytes = 262144;
+// How long a request waits for memory for its body before it is refused, and how often that is checked.
+constexpr Millis maxMemoryWait = 1000_ms;
+constexpr Millis memoryCheckInterval = 10_ms;
 
 std::string_view toView(boost::beast::string_view text)
 {
@@ -63,6 +68,7 @@
     case RejectReason::Incomplete:
         return 408;
     case RejectReason::Draining:
+    case RejectReason::NoMemory:
         return 503;
     }
     return 400;
@@ -73,7 +79,7 @@
 std::string_view nameOf(RejectReason reason)
 {
     constexpr std::array<std::string_view, rejectReasonCount> names{
-        "malformed", "head-too-large", "body-too-large", "incomplete", "draining"};
+        "malformed", "head-too-large", "body-too-large", "incomplete", "draining", "no-memory"};
     return names[static_cast<std::size_t>(reason)];
 }
 
@@ -116,6 +122,8 @@
     m_state = State::Reading;
     m_parser.emplace();
     m_parser->eager(true);
+    m_reservation.reset();
+    m_waitsForMemorySince.reset();
     m_requestStarted = false;
     m_parsedBytes = 0;
     m_continueSent = false;
@@ -174,6 +182,10 @@
             break;
         }
     }
+    if (!reserveBody()) {
+        waitForMemory();
+        return;
+    }
     if (m_parser->is_done()) {
         dispatch();
         return;
@@ -191,6 +203,41 @@
     read();
 }
 
+bool ServerConnection::reserveBody()
+{
+    if (!m_listener->budget || !m_parser->is_header_done()) {
+        return true;
+    }
+    if (!m_reservation) {
+        m_reservation = std::make_shared<BufferReservation>(m_listener->budget, BufferUse::Request);
+    }
+    const auto length = m_parser->content_length();
+    return m_reservation->raiseTo(length ? *length : m_parser->get().body().capacity());
+}
+
+void ServerConnection::waitForMemory()
+{
+    const auto now = Process::steadyNow();
+    m_waitsForMemorySince = m_waitsForMemorySince.value_or(now);
+    const bool tooLarge = !m_listener->budget->canHold(BufferUse::Request, m_parser->content_length().value_or(0));
+    if (tooLarge || now - *m_waitsForMemorySince >= maxMemoryWait) {
+        reject(RejectReason::NoMemory);
+        return;
+    }
+    startTimer(memoryCheckInterval);
+}
+
+void ServerConnection::onMemoryCheck()
+{
+    if (!reserveBody()) {
+        waitForMemory();
+        return;
+    }
+    m_waitsForMemorySince.reset();
+    startTimer(m_listener->limits.headerTimeout);
+    parseBuffered();
+}
+
 void ServerConnection::sendContinue()
 {
     if (m_continueSent || !Text::equalsIgnoreCase(toView(m_parser->get()[Beast::field::expect]), "100-continue")) {
@@ -252,6 +299,7 @@
     m_requestId = m_listener->nextRequestId++;
     ++m_listener->counters.requests;
     auto request = toRequest(m_parser->release());
+    request.reservation = std::move(m_reservation);
     m_headRequest = request.method == "HEAD";
     m_keepAlive = request.keepAlive;
     // Keeps a read pending to notice a client that disconnects before its response.
@@ -266,10 +314,14 @@
     m_requestId = m_listener->nextRequestId++;
     m_keepAlive = false;
     m_headRequest = false;
+    const auto receivedBytes = m_parsedBytes + m_buffer.size();
+    // Releases what was received of the body.
+    m_parser.emplace();
+    m_reservation.reset();
     ++m_listener->counters.rejected[static_cast<std::size_t>(reason)];
     const auto status = statusOf(reason, m_listener->limits.provisional);
     if (m_listener->handler.onReject) {
-        m_listener->handler.onReject({.reason = reason, .status = status, .receivedBytes = m_parsedBytes + m_buffer.size()});
+        m_listener->handler.onReject({.reason = reason, .status = status, .receivedBytes = receivedBytes});
     }
     respond(m_requestId, {.status = status, .headers = {}, .body = {}, .keepAlive = false});
 }
@@ -291,12 +343,20 @@
         }
     }
     const bool hasBody = response.status >= 200 && response.status != 204 && response.status != 304;
-    m_writeBuffer = encode(response, hasBody);
-    if (m_headRequest && hasBody) {
-        m_writeBuffer.resize(m_writeBuffer.size() - response.body.size());
-    }
-    Asio::async_write(
-        m_socket, Asio::buffer(m_writeBuffer), [self = shared_from_this()](const auto &ec, std::size_t) { self->onWritten(ec); });
+    m_responseHead = encodeHead(response, hasBody);
+    m_responseBody = hasBody && !m_headRequest ? std::move(response.body) : std::string();
+    m_responseReservation = std::move(response.reservation);
+    m_passedBodyBytes = 0;
+    write();
+}
+
+void ServerConnection::write()
+{
+    startTimer(m_listener->limits.idleTimeout);
+    const auto part = std::string_view(m_responseBody).substr(m_passedBodyBytes, maxWriteBytes);
+    m_passedBodyBytes += part.size();
+    const std::array<Asio::const_buffer, 2> buffers{Asio::buffer(m_responseHead), Asio::buffer(part)};
+    Asio::async_write(m_socket, buffers, [self = shared_from_this()](const auto &ec, std::size_t) { self->onWritten(ec); });
 }
 
 void ServerConnection::onWritten(const boost::system::error_code &ec)
@@ -308,7 +368,13 @@
         close();
         return;
     }
-    m_writeBuffer.clear();
+    m_responseHead.clear();
+    if (m_passedBodyBytes < m_responseBody.size()) {
+        write();
+        return;
+    }
+    m_responseBody = {};
+    m_responseReservation.reset();
     if (m_keepAlive) {
         readNextRequest();
     } else {
@@ -393,13 +459,17 @@
 
 void ServerConnection::onTimeout()
 {
-    if (m_state == State::Lingering) {
+    if (m_state == State::Lingering || m_state == State::Writing) {
         close();
         return;
     }
     if (m_state != State::Reading) {
         return;
     }
+    if (m_waitsForMemorySince) {
+        onMemoryCheck();
+        return;
+    }
     if (!m_requestStarted) {
         // The timeout may have been changed since the timer was set.
         const auto left = m_idleSince + idleTimeout() - Process::steadyNow();
--- a/src/http/serverconnection.h
+++ b/src/http/serverconnection.h
@@ -26,7 +26,7 @@
     std::uint64_t maxBodyBytes = 67108864;
     /// Limit from the first byte of a request to the end of its header, and between two reads of its body.
     Millis headerTimeout{3000};
-    /// How long a connection may stay open without a request.
+    /// How long a connection may stay open without a request, and how long its client may take to read a part of a response.
     Millis idleTimeout{15000};
     /// Whether the limits that apply are not known yet. A request beyond the sizes is then answered 503 instead of 413 or 431.
     bool provisional = false;
@@ -42,9 +42,11 @@
     Incomplete,
     /// The listener was about to close before the request had been received completely.
     Draining,
+    /// There was no memory for the body.
+    NoMemory,
 };
 
-constexpr std::size_t rejectReasonCount = 5;
+constexpr std::size_t rejectReasonCount = 6;
 /// Name of a reason in lower case with hyphens.
 std::string_view nameOf(RejectReason reason);
 
@@ -104,6 +106,8 @@
 {
     ServerHandler handler;
     ServerLimits limits;
+    /// Limits the memory for the bodies of requests; null for no limit.
+    std::shared_ptr<BufferBudget> budget;
     ServerCounters counters;
     std::uint64_t nextRequestId = 1;
     /// Whether each connection is closed after the responses to the requests that it has received.
@@ -151,11 +155,17 @@
     /// Drops empty lines before a request and returns whether a byte of the request itself is buffered.
     bool requestBegins();
     void parseBuffered();
+    /// Reserves memory for the body that is being received; returns false if there is none at present.
+    bool reserveBody();
+    /// Stops reading, so that the client stops sending, until there is memory for the body.
+    void waitForMemory();
+    void onMemoryCheck();
     void read();
     void onRead(const boost::system::error_code &ec, std::size_t n);
     void dispatch();
     void reject(RejectReason reason);
     void sendContinue();
+    void write();
     void onWritten(const boost::system::error_code &ec);
     void linger();
     void onClientDisconnected();
@@ -171,7 +181,15 @@
     /// Received bytes that are not parsed yet.
     boost::beast::flat_buffer m_buffer;
     std::optional<Parser> m_parser;
-    std::string m_writeBuffer;
+    /// For the body that is being received; null before its head is complete or without a budget.
+    std::shared_ptr<BufferReservation> m_reservation;
+    /// Since when the connection waits for memory, on the steady clock.
+    std::optional<Millis> m_waitsForMemorySince;
+    /// The response that is being written, and how much of its body has been passed to the socket.
+    std::string m_responseHead;
+    std::string m_responseBody;
+    std::shared_ptr<BufferReservation> m_responseReservation;
+    std::size_t m_passedBodyBytes = 0;
     State m_state = State::Reading;
     std::uint64_t m_requestId = 0;
     /// Parsed bytes of the request that is being read.
--- a/src/platform/requests.cpp
+++ b/src/platform/requests.cpp
@@ -79,6 +79,18 @@
     call.target = pathAndQuery.starts_with('/') ? std::string(pathAndQuery) : Text::concat("/", pathAndQuery);
 }
 
+// The body with the memory that is reserved for it, which stays reserved as long as anyone uses the body.
+std::shared_ptr<const std::string> holdBody(Http::Request &&request)
+{
+    struct HeldBody
+    {
+        std::string bytes;
+        std::shared_ptr<BufferReservation> reservation;
+    };
+    const auto held = std::make_shared<HeldBody>(HeldBody{.bytes = std::move(request.body), .reservation = std::move(request.reservation)});
+    return {held, &held->bytes};
+}
+
 // Returns nothing unless the first three numbers are valid and there is at least one slot.
 std::optional<Placement::LoadReport> decodeLoadReport(const Http::Headers &headers)
 {
@@ -158,13 +170,13 @@
     call.headers = std::move(request.headers);
     toOriginForm(call);
     stripHeaders(call.headers);
-    call.body = std::move(request.body);
+    call.body = holdBody(std::move(request));
     return call;
 }
 
-Http::Request encodeAttempt(const Entry::IncomingCall &call, std::string_view upstream, Millis remaining)
+Http::Request attemptHead(const Entry::IncomingCall &call, std::string_view upstream, Millis remaining)
 {
-    Http::Request request{.method = call.method, .target = call.target, .headers = call.headers, .body = call.body};
+    Http::Request request{.method = call.method, .target = call.target, .headers = call.headers, .body = {}};
     request.headers.push_back(
         {std::string(deadlineHeader), Text::concat(std::max<std::int64_t>(1, static_cast<std::int64_t>(remaining.count)))});
     request.headers.push_back({std::string(expectedInstanceHeader), std::string(upstream)});
--- a/src/platform/requests.h
+++ b/src/platform/requests.h
@@ -14,9 +14,9 @@
 /// Decodes a caller's request. Removes headers that concern only its connection or that are set anew for each attempt.
 Result<Entry::IncomingCall, Entry::CallError> decodeCall(Http::Request request);
 
-/// Encodes the request that is sent to `upstream`. `remaining` is the time within which the caller needs the answer; it is
+/// The request that is sent to `upstream`, without its body. `remaining` is the time within which the caller needs the answer; it is
 /// sent in whole milliseconds, at least 1.
-Http::Request encodeAttempt(const Entry::IncomingCall &call, std::string_view upstream, Millis remaining);
+Http::Request attemptHead(const Entry::IncomingCall &call, std::string_view upstream, Millis remaining);
 
 /// Whether a response on an upstream's connection can be the one to the call `callId`.
 bool isResponseToCall(const Http::Response &response, std::string_view callId);
--- a/tests/entry/nodesystem.h
+++ b/tests/entry/nodesystem.h
@@ -147,6 +147,10 @@
     {
         return *m_nodes[n];
     }
+    boost::asio::io_context &loop()
+    {
+        return m_loop;
+    }
     FakeStore &store()
     {
         return m_store;
--- a/tests/platform/requests.cpp
+++ b/tests/platform/requests.cpp
@@ -44,10 +44,10 @@
     const auto &call = std::get<Entry::IncomingCall>(decoded);
     CHECK(call.id == "9c41");
     CHECK(call.callerTimeout == 800_ms);
-    const auto sent = encodeAttempt(call, "i-1", 640.7_ms);
+    const auto sent = attemptHead(call, "i-1", 640.7_ms);
     CHECK(sent.method == "POST");
     CHECK(sent.target == "/p/x?y=1");
-    CHECK(sent.body == "bytes");
+    CHECK(*call.body == "bytes");
     CHECK(Http::find(sent.headers, "X-Kept") == "2");
     CHECK_FALSE(Http::find(sent.headers, "X-Hop"));
     CHECK_FALSE(Http::find(sent.headers, "Connection"));
