Workspaces, public routes and bounds of allowances are decoded

The configuration may name workspaces with credentials, a priority and an allowance, routes that need no credential, and the rate that a cold upstream tolerates; the settings may bound revocation, allowances, warm-up and evacuation. Nothing uses them yet, so no deployment is served differently.

--- a/src/core/routes/route.h
+++ b/src/core/routes/route.h
@@ -37,6 +37,8 @@
     int rank = 0;
     /// Maximum number of upstreams that may execute one call.
     int maxAttempts = 1;
+    /// Whether calls need no credential although there are workspaces.
+    bool isPublic = false;
     /// Services among which the calls are split; must not be empty.
     std::vector<WeightedService> weightedServices;
 };
@@ -48,6 +50,10 @@
     std::string healthPath = "/health";
     /// Connections that one upstream accepts from all daemons together.
     int maxConnections = 100;
+    /// Time after its start, or after it became cold again, for which an upstream is slow.
+    Millis warmUp{};
+    /// Calls per second from all daemons together that an upstream tolerates while it is cold; 0 if there is no limit.
+    double coldCallsPerSecond = 0;
 };
 
 /// Size and time limits for the requests of callers.
--- a/src/core/routes/routetable.cpp
+++ b/src/core/routes/routetable.cpp
@@ -26,9 +26,14 @@
 
 }
 
-RouteTable::RouteTable(std::uint64_t version, std::vector<Route> routes, std::vector<ServiceSpec> services, const CallerLimits &limits)
+RouteTable::RouteTable(std::uint64_t version,
+                       std::vector<Route> routes,
+                       std::vector<ServiceSpec> services,
+                       const CallerLimits &limits,
+                       std::shared_ptr<const Workspaces::WorkspaceTable> workspaces)
     : m_version(version)
     , m_limits(limits)
+    , m_workspaces(std::move(workspaces))
     , m_routes(std::move(routes))
 {
     for (auto &it : services) {
--- a/src/core/routes/routetable.h
+++ b/src/core/routes/routetable.h
@@ -2,9 +2,11 @@
 #define LABURNUMMAST_CORE_ROUTES_ROUTETABLE_H
 
 #include "core/routes/route.h"
+#include "core/workspaces/workspacetable.h"
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -17,7 +19,12 @@
 {
 public:
     RouteTable() = default;
-    RouteTable(std::uint64_t version, std::vector<Route> routes, std::vector<ServiceSpec> services, const CallerLimits &limits);
+    /// `workspaces` is null if callers need no credential.
+    RouteTable(std::uint64_t version,
+               std::vector<Route> routes,
+               std::vector<ServiceSpec> services,
+               const CallerLimits &limits,
+               std::shared_ptr<const Workspaces::WorkspaceTable> workspaces = nullptr);
 
     std::uint64_t version() const
     {
@@ -27,6 +34,11 @@
     {
         return m_limits;
     }
+    /// Null if callers need no credential on any route.
+    const std::shared_ptr<const Workspaces::WorkspaceTable> &workspaces() const
+    {
+        return m_workspaces;
+    }
     /// Finds the route of `host` with the longest prefix of `path`; null if none matches.
     const Route *match(std::string_view host, std::string_view path) const;
     /// Finds a service by name; null if it is not in the table.
@@ -43,6 +55,7 @@
 private:
     std::uint64_t m_version = 0;
     CallerLimits m_limits;
+    std::shared_ptr<const Workspaces::WorkspaceTable> m_workspaces;
     std::vector<Route> m_routes;
     std::map<std::string, ServiceSpec, std::less<>> m_services;
     /// Indices into `m_routes` by lower-case host, then by path prefix.
--- a/src/entry/nodesettings.h
+++ b/src/entry/nodesettings.h
@@ -32,6 +32,22 @@
     Millis retryWindow{10000};
     /// Probes per second that one upstream may get from all daemons together, on average.
     double probesPerSecond = 60;
+    /// Time after the confirmation of a version of the routes within which it must be in force everywhere.
+    Millis configApply{2000};
+    /// Whether calls whose credential may have been withdrawn are refused; see `revocation`.
+    bool failClosed = false;
+    /// Time after the withdrawal of a credential from which no call with it may be executed.
+    Millis revocation{5000};
+    /// Length of the sliding window for the allowances of workspaces.
+    Millis quotaWindow{5000};
+    /// Calls of a workspace that may be executed in a window beyond its allowance, as a share of it and in addition to that.
+    double quotaOvershoot = 0.1;
+    double quotaSlack = 20;
+    /// Calls that a cold upstream may get in a second: a multiple of what it tolerates, plus a number.
+    double coldOvershoot = 1.5;
+    double coldSlack = 8;
+    /// Time after which an evacuated failure domain must not get new calls.
+    Millis evacuation{5000};
 };
 
 /// Settings of one daemon.
--- a/src/platform/records.cpp
+++ b/src/platform/records.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/ip/address_v4.hpp>
 #include <limits>
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
 
@@ -48,6 +49,12 @@
         return value->get<double>();
     }
 
+    bool flag(const char *name)
+    {
+        const auto *value = find(name);
+        return value && value->is_boolean() ? value->get<bool>() : fail<bool>(value);
+    }
+
     Millis duration(const char *name)
     {
         const auto *value = find(name);
@@ -122,6 +129,9 @@
     if (fields.has("max-attempts")) {
         route.maxAttempts = static_cast<int>(fields.number("max-attempts", 1, maxCount));
     }
+    if (fields.has("public")) {
+        route.isPublic = fields.flag("public");
+    }
     if (fields.has("traffic-split")) {
         for (const auto &it : object["traffic-split"]) {
             if (!it.is_object()) {
@@ -158,12 +168,64 @@
             spec.healthPath = fields.has("health-check-path") ? fields.text("health-check-path") : spec.healthPath;
             spec.maxConnections
                 = fields.has("max-connections") ? static_cast<int>(fields.number("max-connections", 1, maxCount)) : spec.maxConnections;
+            spec.warmUp = fields.has("warmup") ? fields.duration("warmup") : spec.warmUp;
+            spec.coldCallsPerSecond = fields.has("cold-per-s") ? fields.number("cold-per-s", 0, maxCount) : spec.coldCallsPerSecond;
         }
         services.push_back(std::move(spec));
     }
     return services;
 }
 
+// The platform calls a workspace a tenant.
+Result<Workspaces::Workspace, RecordError> decodeWorkspace(const std::string &name, const Json &object)
+{
+    if (!object.is_object()) {
+        return RecordError::FieldInvalid;
+    }
+    FieldReader fields(object);
+    Workspaces::Workspace workspace{.name = name};
+    if (fields.has("api-keys")) {
+        if (!object["api-keys"].is_array()) {
+            return RecordError::FieldInvalid;
+        }
+        for (const auto &it : object["api-keys"]) {
+            if (!it.is_string()) {
+                return RecordError::FieldInvalid;
+            }
+            workspace.keys.push_back(it.get<std::string>());
+        }
+    }
+    if (fields.has("priority")) {
+        workspace.rank = static_cast<int>(fields.number("priority", 0, maxCount));
+    }
+    if (fields.has("rate-per-s")) {
+        workspace.ratePerSecond = fields.number("rate-per-s", 0, maxCount);
+    }
+    if (fields.has("burst")) {
+        workspace.burst = fields.number("burst", 0, maxCount);
+    }
+    if (fields.error()) {
+        return *fields.error();
+    }
+    return workspace;
+}
+
+Result<std::shared_ptr<const Workspaces::WorkspaceTable>, RecordError> decodeWorkspaces(const Json &object)
+{
+    if (!object.is_object()) {
+        return RecordError::FieldInvalid;
+    }
+    std::vector<Workspaces::Workspace> workspaces;
+    for (const auto &[name, it] : object.items()) {
+        auto workspace = decodeWorkspace(name, it);
+        if (const auto *error = std::get_if<RecordError>(&workspace)) {
+            return *error;
+        }
+        workspaces.push_back(std::move(std::get<Workspaces::Workspace>(workspace)));
+    }
+    return std::make_shared<const Workspaces::WorkspaceTable>(std::move(workspaces));
+}
+
 // Returns the defaults of all limits if one of them cannot be read.
 Routes::CallerLimits decodeLimits(const Json &object)
 {
@@ -276,10 +338,19 @@
         }
         routes.push_back(std::move(std::get<Routes::Route>(route)));
     }
+    std::shared_ptr<const Workspaces::WorkspaceTable> workspaces;
+    if (fields.has("tenants")) {
+        auto decoded = decodeWorkspaces(json["tenants"]);
+        if (const auto *error = std::get_if<RecordError>(&decoded)) {
+            return *error;
+        }
+        workspaces = std::move(std::get<std::shared_ptr<const Workspaces::WorkspaceTable>>(decoded));
+    }
     return Routes::RouteTable(static_cast<std::uint64_t>(version),
                               std::move(routes),
                               decodeServices(json["services"]),
-                              json.contains("limits") ? decodeLimits(json["limits"]) : Routes::CallerLimits{});
+                              json.contains("limits") ? decodeLimits(json["limits"]) : Routes::CallerLimits{},
+                              std::move(workspaces));
 }
 
 }
--- a/src/platform/settings.cpp
+++ b/src/platform/settings.cpp
@@ -86,6 +86,17 @@
         }
     }
 
+    // Sets `target` if the field is `true` or `false`; any other value is a problem, a missing field is not.
+    void flag(std::string_view key, bool &target)
+    {
+        const auto value = text(key, false);
+        if (value == "true" || value == "false") {
+            target = value == "true";
+        } else if (!value.empty()) {
+            m_problems.push_back({.field = std::string(key), .value = value});
+        }
+    }
+
     std::vector<SettingProblem> takeProblems()
     {
         return std::move(m_problems);
@@ -163,6 +174,15 @@
     reader.number("terms.bounds.budget-slack", bounds.retrySlack);
     reader.duration("terms.bounds.budget-window", bounds.retryWindow);
     reader.number("terms.bounds.probes-per-s", bounds.probesPerSecond);
+    reader.duration("terms.bounds.config-apply", bounds.configApply);
+    reader.flag("terms.bounds.fail-closed", bounds.failClosed);
+    reader.duration("terms.bounds.revoke", bounds.revocation);
+    reader.duration("terms.bounds.quota-window", bounds.quotaWindow);
+    reader.number("terms.bounds.quota-overshoot", bounds.quotaOvershoot);
+    reader.number("terms.bounds.quota-slack", bounds.quotaSlack);
+    reader.number("terms.bounds.cold-overshoot", bounds.coldOvershoot);
+    reader.number("terms.bounds.cold-slack", bounds.coldSlack);
+    reader.duration("terms.bounds.evacuation", bounds.evacuation);
     auto problems = reader.takeProblems();
     if (!problems.empty()) {
         return problems;
--- a/tests/platform/records.cpp
+++ b/tests/platform/records.cpp
@@ -150,3 +150,49 @@
         CHECK(std::holds_alternative<RecordError>(decodeRoutes(replaced(routesRecord, "\"s1\":{", "\"s1\":" + unfinished))));
     }
 }
+
+namespace
+{
+
+// routesRecord with workspaces, a public route and a service with a limit for cold upstreams.
+std::string workspacesRecord(const std::string &workspaces)
+{
+    auto record = replaced(routesRecord, R"("new":[])", R"("tenants":)" + workspaces);
+    record = replaced(record, R"("service":"s2"}})", R"("service":"s2","public":true}})");
+    return replaced(record, R"("max-connections":260})", R"("max-connections":260,"warmup":"3s","cold-per-s":7.9})");
+}
+
+}
+
+TEST_CASE("Workspaces are decoded with their keys, priority and allowance")
+{
+    const auto decoded = decodeRoutes(workspacesRecord(
+        R"({"yefi830":{"api-keys":["48wuakn2ftimaj3nr26t","ta828m82thhkmgjqnirt"],"priority":2,"rate-per-s":312,"burst":156.5},"w2":{}})"));
+    REQUIRE(std::holds_alternative<Routes::RouteTable>(decoded));
+    const auto &table = std::get<Routes::RouteTable>(decoded);
+    REQUIRE(table.workspaces() != nullptr);
+    const auto *workspace = table.workspaces()->findByKey("ta828m82thhkmgjqnirt");
+    REQUIRE(workspace != nullptr);
+    CHECK(workspace->name == "yefi830");
+    CHECK(workspace->rank == 2);
+    CHECK(workspace->ratePerSecond == 312);
+    CHECK(workspace->burst == 156.5);
+    REQUIRE(table.workspaces()->find("w2") != nullptr);
+    CHECK_FALSE(table.workspaces()->find("w2")->isLimited());
+    CHECK_FALSE(table.match("h.example", "/p/x")->isPublic);
+    CHECK(table.match("h.example", "/u/x")->isPublic);
+    CHECK(table.service("s1")->warmUp == 3_s);
+    CHECK(table.service("s1")->coldCallsPerSecond == 7.9);
+    CHECK(table.service("s2")->coldCallsPerSecond == 0);
+}
+
+// Guards against a table that lets every call in, or none, because one entry of another writer cannot be read.
+TEST_CASE("Routes without workspaces need no credential and those with an unreadable one are rejected")
+{
+    CHECK(std::get<Routes::RouteTable>(decodeRoutes(routesRecord)).workspaces() == nullptr);
+    for (const auto *workspaces :
+         {"[]", "7", R"({"w":7})", R"({"w":{"api-keys":"k"}})", R"({"w":{"api-keys":[7]}})", R"({"w":{"rate-per-s":-1}})"}) {
+        CAPTURE(workspaces);
+        CHECK(std::holds_alternative<RecordError>(decodeRoutes(workspacesRecord(workspaces))));
+    }
+}
--- a/tests/platform/settings.cpp
+++ b/tests/platform/settings.cpp
@@ -54,3 +54,25 @@
     CHECK_FALSE(parseDuration("-1s"));
     CHECK_FALSE(parseDuration("fasts"));
 }
+
+TEST_CASE("Bounds for credentials, allowances, cold upstreams and evacuations are read if they are there")
+{
+    const auto &defaults = std::get<Entry::NodeSettings>(parseSettings(settings)).bounds;
+    CHECK_FALSE(defaults.failClosed);
+    const auto decoded = parseSettings(settings
+                                       + "terms.bounds.fail-closed=true\nterms.bounds.revoke=4000ms\nterms.bounds.quota-window=6s\n"
+                                         "terms.bounds.quota-overshoot=0.2\nterms.bounds.quota-slack=30\nterms.bounds.cold-overshoot=1.4\n"
+                                         "terms.bounds.cold-slack=7\nterms.bounds.evacuation=4500ms\nterms.bounds.config-apply=2500ms\n");
+    REQUIRE(std::holds_alternative<Entry::NodeSettings>(decoded));
+    const auto &bounds = std::get<Entry::NodeSettings>(decoded).bounds;
+    CHECK(bounds.failClosed);
+    CHECK(bounds.revocation == 4_s);
+    CHECK(bounds.quotaWindow == 6_s);
+    CHECK(bounds.quotaOvershoot == 0.2);
+    CHECK(bounds.quotaSlack == 30);
+    CHECK(bounds.coldOvershoot == 1.4);
+    CHECK(bounds.coldSlack == 7);
+    CHECK(bounds.evacuation == 4500_ms);
+    CHECK(bounds.configApply == 2500_ms);
+    CHECK(std::holds_alternative<std::vector<SettingProblem>>(parseSettings(settings + "terms.bounds.fail-closed=yes\n")));
+}
