Upstreams of an evacuated failure domain get no calls

The control thread keeps the evacuated domains and leaves their upstreams out of the view, as it does with draining ones: choices, retries, hedges, probes and the capacity seen by admission follow at once.

--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -73,7 +73,8 @@
     : m_loop(loop)
     , m_settings(settings)
     , m_events(std::move(events))
-    , m_topics{std::make_unique<FollowedTopic>([this](const Feed::KeyedRecord &it) { applyRoutesRecord(it); }, nullptr),
+    , m_topics{std::make_unique<FollowedTopic>([this](const Feed::KeyedRecord &it) { applyRoutesRecord(it); },
+                                               [this] { m_evacuations.markStoreRestored(Process::steadyNow()); }),
                std::make_unique<FollowedTopic>([this](const Feed::KeyedRecord &it) { applyUpstreamRecord(it); },
                                                [this] { m_upstreams.markStoreRestored(Process::steadyNow()); })}
     , m_firstRead(firstReadOptions(settings))
@@ -244,6 +245,10 @@
     if (m_upstreams.applyHeldRecords(now)) {
         scheduleUpstreamUpdate();
     }
+    if (m_evacuations.applyDeferredEnds(now)) {
+        logInfo("evacuations-ended", {{"evacuated", textOf(static_cast<std::int64_t>(m_evacuations.domains().size()))}});
+        scheduleUpstreamUpdate();
+    }
     if (m_membersChanged && now - m_lastViewAt >= memberViewInterval) {
         scheduleViewUpdate();
     }
@@ -436,8 +441,21 @@
     scheduleViewUpdate();
 }
 
+void Control::applyEvacuation(std::string_view domain, bool isEvacuated)
+{
+    const bool hasChanged = isEvacuated ? m_evacuations.begin(domain) : m_evacuations.end(domain, Process::steadyNow());
+    if (hasChanged) {
+        logInfo(isEvacuated ? "domain-evacuated" : "evacuation-ended", {{"domain", std::string(domain)}});
+        scheduleUpstreamUpdate();
+    }
+}
+
 void Control::applyRoutesRecord(const Feed::KeyedRecord &record)
 {
+    if (const auto domain = Platform::evacuatedDomain(record.key)) {
+        applyEvacuation(*domain, record.value.has_value());
+        return;
+    }
     if (record.key != Platform::routesKey() || !record.value) {
         return;
     }
@@ -541,7 +559,7 @@
 {
     auto upstreams = std::make_shared<std::vector<Fleet::KnownUpstream>>();
     for (const auto &[id, it] : m_upstreams.upstreams()) {
-        if (!it.record.draining) {
+        if (!it.record.draining && !m_evacuations.contains(it.record.domain)) {
             upstreams->push_back(it);
         }
     }
@@ -660,6 +678,7 @@
     state.upstreamCount = m_upstreams.upstreams().size();
     state.deferredRemovalCount = m_upstreams.deferredRemovalCount();
     state.heldRecordCount = m_upstreams.heldRecordCount();
+    state.evacuatedDomains.assign(m_evacuations.domains().begin(), m_evacuations.domains().end());
     state.servingMemberCount = m_peers.members().serving().size();
     state.unreadableValues = m_unreadableValues;
     state.peers = m_peers.counters();
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -2,6 +2,7 @@
 #define LABURNUMMAST_ENTRY_CONTROL_H
 
 #include "core/feed/keyedfeed.h"
+#include "core/fleet/evacuations.h"
 #include "core/fleet/fetchsource.h"
 #include "core/fleet/firstread.h"
 #include "core/fleet/readerchoice.h"
@@ -54,6 +55,8 @@
     std::size_t deferredRemovalCount = 0;
     /// Number of upstreams whose record in an older copy of the store is not applied for now.
     std::size_t heldRecordCount = 0;
+    /// Failure domains that operators have evacuated.
+    std::vector<std::string> evacuatedDomains;
     /// Number of alive and suspected members; this daemon counts until it drains.
     std::size_t servingMemberCount = 0;
     /// Routes and upstream records whose value could not be decoded; records without a readable key count in `storeCounters`.
@@ -147,6 +150,7 @@
     void recordContact(Topic topic, Millis at, bool isDirect);
     void detectUnreachableStore(Millis now);
     void applyRoutesRecord(const Feed::KeyedRecord &record);
+    void applyEvacuation(std::string_view domain, bool isEvacuated);
     void applyUpstreamRecord(const Feed::KeyedRecord &record);
     void handleMemberChange(const Membership::MemberChanged &change);
     void handleReport(const PeerReport &report);
@@ -172,7 +176,7 @@
     bool routesCurrent() const;
     /// Whether this daemon has run long enough to know nearly all members.
     bool membersKnown() const;
-    /// Upstreams that may get new calls.
+    /// Upstreams that may get new calls: neither draining nor in an evacuated domain.
     std::shared_ptr<const std::vector<Fleet::KnownUpstream>> listedUpstreams() const;
     Limits::LimitPool limitPool() const;
     boost::asio::io_context &m_loop;
@@ -184,6 +188,7 @@
     /// Revision of the members for which the ranks were worked out.
     std::uint64_t m_rankedRevision = 0;
     Fleet::UpstreamTable m_upstreams;
+    Fleet::Evacuations m_evacuations;
     std::shared_ptr<const Routes::RouteTable> m_routes;
     /// Latest position of the routes that a peer reported.
     Feed::LogPosition m_reportedRoutesPosition;
--- a/src/platform/records.cpp
+++ b/src/platform/records.cpp
@@ -272,6 +272,12 @@
     return "config";
 }
 
+std::optional<std::string_view> evacuatedDomain(std::string_view key)
+{
+    constexpr std::string_view prefix = "evacuate/";
+    return key.starts_with(prefix) && key.size() > prefix.size() ? std::optional(key.substr(prefix.size())) : std::nullopt;
+}
+
 Result<Fleet::UpstreamRecord, RecordError> decodeUpstream(std::string_view key, std::string_view value)
 {
     const auto json = parseJson(value);
--- a/src/platform/records.h
+++ b/src/platform/records.h
@@ -6,6 +6,7 @@
 #include "core/routes/routetable.h"
 
 #include <cstdint>
+#include <optional>
 #include <string_view>
 
 namespace Laburnummast::Platform
@@ -28,6 +29,8 @@
 
 /// Key of the record of the routes topic that holds the routes.
 std::string_view routesKey();
+/// Failure domain that a record of the routes topic with this key evacuates; empty if it evacuates none.
+std::optional<std::string_view> evacuatedDomain(std::string_view key);
 
 /// Decodes the record of the upstream whose id is `key`; unknown fields are ignored.
 Result<Fleet::UpstreamRecord, RecordError> decodeUpstream(std::string_view key, std::string_view value);
--- a/tests/platform/records.cpp
+++ b/tests/platform/records.cpp
@@ -196,3 +196,11 @@
         CHECK(std::holds_alternative<RecordError>(decodeRoutes(workspacesRecord(workspaces))));
     }
 }
+
+TEST_CASE("Only a key with the name of a failure domain evacuates one")
+{
+    CHECK(evacuatedDomain("evacuate/mu-east-a") == "mu-east-a");
+    CHECK_FALSE(evacuatedDomain("evacuate/"));
+    CHECK_FALSE(evacuatedDomain("evacuate"));
+    CHECK_FALSE(evacuatedDomain("config"));
+}
