Calls need the credential of a workspace where the routes name workspaces

The checks at the start of a call now stand in entry/calladmission: route, credential, workspace. The credential and any workspace header of the caller are removed and the workspace's name is set on each attempt. 401 only if no newer version is expected, else 503. Deployments without workspaces forward headers as before.

--- a/src/entry/admin.cpp
+++ b/src/entry/admin.cpp
@@ -52,6 +52,16 @@
         ends.push_back(sample(static_cast<double>(counters.ended[i]), {{"end", std::string(nameOf(static_cast<CallEnd>(i)))}}));
     }
     addFamily(families, "laburnummast_calls_total", "Calls by how they ended.", prometheus::MetricType::Counter, std::move(ends));
+    std::vector<prometheus::ClientMetric> credentialErrors;
+    for (std::size_t i = 0; i < Workspaces::credentialErrorCount; ++i) {
+        credentialErrors.push_back(sample(static_cast<double>(counters.credentialErrors[i]),
+                                          {{"reason", std::string(nameOf(static_cast<Workspaces::CredentialError>(i)))}}));
+    }
+    addFamily(families,
+              "laburnummast_credentials_rejected_total",
+              "Calls rejected because of their credential.",
+              prometheus::MetricType::Counter,
+              std::move(credentialErrors));
     std::vector<prometheus::ClientMetric> rejected;
     for (std::size_t i = 0; i < Http::rejectReasonCount; ++i) {
         rejected.push_back(
@@ -133,6 +143,10 @@
               std::move(staleSnapshots));
     addGauge(families, "laburnummast_routes_version", "Version of the routes in force.", static_cast<double>(state.routesVersion));
     addGauge(families, "laburnummast_upstreams", "Upstreams known.", static_cast<double>(state.upstreamCount));
+    addGauge(families,
+             "laburnummast_evacuated_domains",
+             "Failure domains that operators have evacuated.",
+             static_cast<double>(state.evacuatedDomains.size()));
     addGauge(families, "laburnummast_members", "Daemons that live.", static_cast<double>(state.servingMemberCount));
     addCounter(families, "laburnummast_unreadable_records_total", "Records of the store that could not be read.", state.unreadableValues);
     addCounter(families, "laburnummast_record_fetches_total", "Requests for records to other daemons.", state.peers.fetches);
@@ -217,6 +231,8 @@
     Text::append(text,
                  "members ",
                  control.servingMemberCount,
+                 "\nevacuated-domains ",
+                 Text::join(std::span<const std::string>(control.evacuatedDomains), ","),
                  "\nremovals-held-back ",
                  control.deferredRemovalCount,
                  "\nrecords-held-back ",
--- a/src/entry/call.h
+++ b/src/entry/call.h
@@ -26,6 +26,8 @@
     std::string target;
     /// Without headers that apply to one connection only or that are set for each attempt.
     Http::Headers headers;
+    /// Name of the workspace whose credential the request carried; empty if no credential was needed.
+    std::string workspace;
     /// Shared with the attempts that send it; never null.
     std::shared_ptr<const std::string> body;
     /// How long the caller waits for the answer; empty if the request does not say.
--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -28,7 +28,6 @@
 constexpr Millis answerGrace = 60_ms;
 // Assumed time that a request and its answer take between a caller and this host.
 constexpr Millis callerRoundTrip = 8_ms;
-constexpr Millis notReadyRetryAfter = 200_ms;
 // Share of the allowed probe rate that is used, because daemons come and go while the rate is divided among them.
 constexpr double probeRateShare = 0.85;
 // Largest burst of probes, in seconds of the probe rate: the limit applies to the mean over a long time, so unused probes are saved.
@@ -137,13 +136,6 @@
     return "unknown";
 }
 
-std::string_view nameOf(CallEnd end)
-{
-    constexpr std::array<std::string_view, callEndCount> names{
-        "answered", "failed", "not-run", "unknown", "late", "no-route", "not-ready", "bad-request", "caller-left"};
-    return names[static_cast<std::size_t>(end)];
-}
-
 Traffic::Traffic(boost::asio::io_context &loop, const NodeSettings &settings, OnObservations onObservations)
     : m_loop(loop)
     , m_settings(settings)
@@ -313,32 +305,12 @@
         return;
     }
     auto &call = std::get<IncomingCall>(decoded);
-    if (!m_view->routes || !m_view->upstreamsKnown) {
-        ++m_endCounts[static_cast<std::size_t>(CallEnd::NotReady)];
-        m_callLog.write("call-rejected", now, {{"id", call.id}, {"reason", m_view->routes ? "no-upstream-list" : "no-routes"}});
-        responder.send(Platform::notRunResponse(call.id, notReadyRetryAfter));
-        return;
-    }
-    const auto *route = m_view->routes->match(call.host, Http::pathOf(call.target));
-    if (!route && !m_view->routesCurrent) {
-        // A newer version may have the route, so the call is refused as not run, which allows the caller to repeat it.
-        ++m_endCounts[static_cast<std::size_t>(CallEnd::NotReady)];
-        m_callLog.write(
-            "call-rejected",
-            now,
-            {{"id", call.id}, {"reason", "routes-outdated"}, {"host", call.host}, {"version", Text::concat(m_view->routes->version())}});
-        responder.send(Platform::notRunResponse(call.id, notReadyRetryAfter));
-        return;
-    }
-    if (!route) {
-        ++m_endCounts[static_cast<std::size_t>(CallEnd::NoRoute)];
-        m_callLog.write(
-            "call-rejected",
-            now,
-            {{"id", call.id}, {"reason", "no-route"}, {"host", call.host}, {"version", Text::concat(m_view->routes->version())}});
-        responder.send(Platform::localResponse(call.id, 404));
+    auto admission = admitCall(call, *m_view);
+    if (auto *rejection = std::get_if<RejectedCall>(&admission)) {
+        rejectCall(call, std::move(*rejection), responder);
         return;
     }
+    const auto [route, workspace] = std::get<AdmittedCall>(admission);
     const auto callerTimeout = call.callerTimeout.value_or(route->timeout);
     const auto elapsed = m_returningCallers.elapsedBefore(Text::concat(route->name, "@", m_view->routes->version()), callerTimeout);
     OpenCall openCall{.spec = {.id = id,
@@ -363,6 +335,21 @@
     execute(service, actions);
 }
 
+void Traffic::rejectCall(const IncomingCall &call, RejectedCall rejection, const Http::Responder &responder)
+{
+    ++m_endCounts[static_cast<std::size_t>(rejection.end)];
+    if (rejection.credentialError) {
+        ++m_credentialErrors[static_cast<std::size_t>(*rejection.credentialError)];
+    }
+    m_callLog.write("call-rejected",
+                    steadyNow(),
+                    {{"id", call.id},
+                     {"reason", std::string(rejection.reason)},
+                     {"host", call.host},
+                     {"version", Text::concat(m_view->routes ? m_view->routes->version() : 0)}});
+    responder.send(std::move(rejection.response));
+}
+
 void Traffic::handleRejected(const Http::RejectedRequest &request)
 {
     m_callLog.write("call-rejected",
@@ -643,6 +630,7 @@
                     now,
                     {{"id", call.call.id},
                      {"route", call.route},
+                     {"workspace", call.call.workspace},
                      {"version", Text::concat(call.routesVersion)},
                      {"service", call.service->name},
                      {"end", std::string(nameOf(callEnd))},
@@ -816,6 +804,7 @@
 {
     const auto connections = m_connections.counters();
     TrafficCounters counters{.ended = m_endCounts,
+                             .credentialErrors = m_credentialErrors,
                              .rejected = m_front.counters().rejected,
                              .bufferedBytes = m_budget->reservedBytes(),
                              .peakBufferedBytes = m_budget->peakBytes(),
--- a/src/entry/traffic.h
+++ b/src/entry/traffic.h
@@ -2,7 +2,10 @@
 #define LABURNUMMAST_ENTRY_TRAFFIC_H
 
 #include "core/placement/servicedispatcher.h"
+#include "core/workspaces/credential.h"
 #include "entry/call.h"
+#include "entry/calladmission.h"
+#include "entry/callend.h"
 #include "entry/calllog.h"
 #include "entry/latencytotals.h"
 #include "entry/nodesettings.h"
@@ -30,35 +33,13 @@
 namespace Laburnummast::Entry
 {
 
-/// How a call ended for its caller.
-enum class CallEnd : std::uint8_t {
-    /// With an answer of an upstream whose status is below 400.
-    Answered,
-    /// With an answer of an upstream whose status is 400 or higher.
-    Failed,
-    /// Refused; the call was not executed.
-    NotRun,
-    /// Without a usable answer; the call may have been executed.
-    Unknown,
-    /// Without an answer by the deadline.
-    Late,
-    NoRoute,
-    /// Refused because this daemon does not know routes or upstreams yet.
-    NotReady,
-    BadRequest,
-    /// The caller closed its connection before the answer.
-    CallerLeft,
-};
-
-constexpr std::size_t callEndCount = 9;
-/// Name in metrics and in the log.
-std::string_view nameOf(CallEnd end);
-
 /// Counters of the traffic thread since the start; they only increase.
 struct TrafficCounters
 {
     /// Indexed by `CallEnd`.
     std::array<std::uint64_t, callEndCount> ended{};
+    /// Calls rejected because of their credential, indexed by `Workspaces::CredentialError`.
+    std::array<std::uint64_t, Workspaces::credentialErrorCount> credentialErrors{};
     /// Requests of callers that were rejected before they were decoded, indexed by `Http::RejectReason`.
     std::array<std::uint64_t, Http::rejectReasonCount> rejected{};
     /// Memory reserved for bodies of calls and answers, now and at most; not counters.
@@ -196,6 +177,7 @@
     void handleRequest(Http::Request request, const Http::Responder &responder, std::uint64_t id);
     void handleCallerLeft(std::uint64_t id);
     void handleRejected(const Http::RejectedRequest &request);
+    void rejectCall(const IncomingCall &call, RejectedCall rejection, const Http::Responder &responder);
     void serveEntryList(const Http::Request &request, const Http::Responder &responder) const;
     void serveReadiness(const Http::Request &request, const Http::Responder &responder) const;
     void applyRoutesAndUpstreams();
@@ -248,6 +230,7 @@
     CallLog m_callLog;
     mutable std::mt19937_64 m_random;
     std::array<std::uint64_t, callEndCount> m_endCounts{};
+    std::array<std::uint64_t, Workspaces::credentialErrorCount> m_credentialErrors{};
     std::uint64_t m_unreadableLimits = 0;
     std::uint64_t m_unreadablePauses = 0;
 };
--- a/src/platform/requests.cpp
+++ b/src/platform/requests.cpp
@@ -18,6 +18,11 @@
 constexpr std::string_view deadlineHeader = "Laburnummast-Deadline-Milliseconds";
 // Id of the upstream for which an attempt is meant.
 constexpr std::string_view expectedInstanceHeader = "Laburnummast-Expected-Instance";
+// Credential of the caller: the scheme and the key of a workspace.
+constexpr std::string_view authorizationHeader = "Authorization";
+constexpr std::string_view credentialScheme = "Token";
+// Name of the caller's workspace, which the platform calls a tenant; only this daemon may set it.
+constexpr std::string_view workspaceHeader = "Laburnummast-Tenant-Name";
 // Id of the upstream that sent the response.
 constexpr std::string_view instanceIdHeader = "Laburnummast-Instance-Id";
 // Marks a response as the upstream's own; only its presence is checked.
@@ -36,12 +41,15 @@
 // In a refusal of an upstream: seconds, with fractions, for which it wants no requests from this daemon.
 constexpr std::string_view retryAfterHeader = "Retry-After";
 
+constexpr int unauthorized = 401;
 constexpr int serviceUnavailable = 503;
 constexpr int misdirectedRequest = 421;
 // Statuses from which a caller concludes that its call was not run.
 constexpr std::array<int, 4> notRunStatuses{408, 421, 429, 503};
 // A longer deadline in a request is reduced to this.
 constexpr Millis maxCallerWait = 3600_s;
+// Longest credential that is looked up.
+constexpr std::size_t maxCredentialBytes = 512;
 
 // These headers are never forwarded: they concern one connection only, or this daemon sets them itself.
 bool isStrippedHeader(std::string_view name)
@@ -50,6 +58,14 @@
         || Text::equalsIgnoreCase(name, "content-length") || Http::isHopByHop(name);
 }
 
+// Whether a header name is `name` in any spelling; some servers treat an underscore as a hyphen.
+bool isSpellingOf(std::string_view name, std::string_view headerName)
+{
+    std::string spelled(headerName);
+    std::replace(spelled.begin(), spelled.end(), '_', '-');
+    return Text::equalsIgnoreCase(spelled, name);
+}
+
 // Removes headers that are never forwarded, and those that the sender's `Connection` header names.
 void stripHeaders(Http::Headers &headers)
 {
@@ -174,12 +190,40 @@
     return call;
 }
 
+Result<std::string, Workspaces::CredentialError> takeCredential(Entry::IncomingCall &call)
+{
+    using Workspaces::CredentialError;
+    std::vector<std::string> credentials;
+    std::erase_if(call.headers, [&](const Http::Header &it) {
+        const bool isCredential = isSpellingOf(authorizationHeader, it.name);
+        if (isCredential) {
+            credentials.push_back(it.value);
+        }
+        return isCredential || isSpellingOf(workspaceHeader, it.name);
+    });
+    if (credentials.size() != 1) {
+        return credentials.empty() ? CredentialError::Missing : CredentialError::Repeated;
+    }
+    const auto [scheme, rest] = Text::splitOnce(Text::trim(credentials.front()), ' ');
+    if (!Text::equalsIgnoreCase(scheme, credentialScheme)) {
+        return CredentialError::UnsupportedScheme;
+    }
+    const auto key = Text::trim(rest);
+    if (key.empty() || key.size() > maxCredentialBytes) {
+        return CredentialError::Malformed;
+    }
+    return std::string(key);
+}
+
 Http::Request attemptHead(const Entry::IncomingCall &call, std::string_view upstream, Millis remaining)
 {
     Http::Request request{.method = call.method, .target = call.target, .headers = call.headers, .body = {}};
     request.headers.push_back(
         {std::string(deadlineHeader), Text::concat(std::max<std::int64_t>(1, static_cast<std::int64_t>(remaining.count)))});
     request.headers.push_back({std::string(expectedInstanceHeader), std::string(upstream)});
+    if (!call.workspace.empty()) {
+        request.headers.push_back({std::string(workspaceHeader), call.workspace});
+    }
     return request;
 }
 
@@ -271,6 +315,14 @@
     return response;
 }
 
+Http::Response unauthorizedResponse(std::string_view callId)
+{
+    auto response = localResponse(callId, unauthorized);
+    // Required of a 401 by RFC 9110, section 11.6.1.
+    response.headers.push_back({"WWW-Authenticate", std::string(credentialScheme)});
+    return response;
+}
+
 Http::Response localResponse(std::string_view callId, int status)
 {
     Http::Response response{.status = status, .headers = {}, .body = {}};
--- a/src/platform/requests.h
+++ b/src/platform/requests.h
@@ -3,9 +3,11 @@
 
 #include "core/placement/upstreamavailability.h"
 #include "core/result.h"
+#include "core/workspaces/credential.h"
 #include "entry/call.h"
 
 #include <optional>
+#include <string>
 #include <string_view>
 
 namespace Laburnummast::Platform
@@ -14,6 +16,10 @@
 /// Decodes a caller's request. Removes headers that concern only its connection or that are set anew for each attempt.
 Result<Entry::IncomingCall, Entry::CallError> decodeCall(Http::Request request);
 
+/// Removes the headers of the caller that state a credential or a workspace, and returns the credential. The credential is not checked
+/// against any workspace.
+Result<std::string, Workspaces::CredentialError> takeCredential(Entry::IncomingCall &call);
+
 /// The request that is sent to `upstream`, without its body. `remaining` is the time within which the caller needs the answer; it is
 /// sent in whole milliseconds, at least 1.
 Http::Request attemptHead(const Entry::IncomingCall &call, std::string_view upstream, Millis remaining);
@@ -40,6 +46,8 @@
 
 /// Response to a call that was not run and will not be; the caller may try again after `retryAfter`.
 Http::Response notRunResponse(std::string_view callId, Millis retryAfter);
+/// Response to a call whose credential is rejected.
+Http::Response unauthorizedResponse(std::string_view callId);
 /// Response without a body that this daemon creates itself; an empty `callId` is left out.
 Http::Response localResponse(std::string_view callId, int status);
 
--- a/tests/platform/requests.cpp
+++ b/tests/platform/requests.cpp
@@ -215,3 +215,65 @@
     CHECK_FALSE(hasUnreadableRetryAfter({.status = 503, .headers = {{"Retry-After", "0.5"}}, .body = {}}));
     CHECK_FALSE(hasUnreadableRetryAfter({.status = 503, .headers = {}, .body = {}}));
 }
+
+namespace
+{
+
+Entry::IncomingCall callWith(const Http::Headers &headers)
+{
+    auto request = callerRequest();
+    request.headers.insert(request.headers.end(), headers.begin(), headers.end());
+    return std::get<Entry::IncomingCall>(decodeCall(std::move(request)));
+}
+
+}
+
+// Guards against upstreams that learn a caller's key or believe a workspace that the caller names.
+TEST_CASE("The credential and the workspace that a caller states are taken out of the call in every spelling")
+{
+    auto call = callWith({{"authorization", "token  48wuakn2 "},
+                          {"Laburnummast-Tenant-Name", "forged"},
+                          {"LABURNUMMAST-TENANT-NAME", "forged"},
+                          {"laburnummast_tenant_name", "forged"}});
+    const auto credential = takeCredential(call);
+    REQUIRE(std::holds_alternative<std::string>(credential));
+    CHECK(std::get<std::string>(credential) == "48wuakn2");
+    call.workspace = "yefi830";
+    const auto sent = attemptHead(call, "i-1", 640_ms);
+    int workspaceHeaders = 0;
+    for (const auto &it : sent.headers) {
+        CHECK(it.value.find("48wuakn2") == std::string::npos);
+        CHECK(it.value != "forged");
+        workspaceHeaders += it.value == "yefi830" ? 1 : 0;
+    }
+    CHECK(workspaceHeaders == 1);
+    CHECK(Http::find(sent.headers, "Laburnummast-Tenant-Name") == "yefi830");
+    CHECK(Http::find(sent.headers, "X-Kept") == "2");
+}
+
+TEST_CASE("Only exactly one credential of the supported scheme is accepted")
+{
+    using Workspaces::CredentialError;
+    const std::map<CredentialError, std::vector<Http::Headers>> rejected{
+        {CredentialError::Missing, {{}}},
+        {CredentialError::Repeated, {{{"Authorization", "Token a"}, {"authorization", "Token a"}}}},
+        {CredentialError::UnsupportedScheme, {{{"Authorization", "Basic a"}}, {{"Authorization", "Tokena"}}, {{"Authorization", ""}}}},
+        {CredentialError::Malformed,
+         {{{"Authorization", "Token"}}, {{"Authorization", "Token   "}}, {{"Authorization", "Token " + std::string(513, 'k')}}}}};
+    for (const auto &[error, cases] : rejected) {
+        for (const auto &headers : cases) {
+            auto call = callWith(headers);
+            const auto credential = takeCredential(call);
+            REQUIRE(std::holds_alternative<CredentialError>(credential));
+            CHECK(std::get<CredentialError>(credential) == error);
+        }
+    }
+}
+
+TEST_CASE("A call without a workspace keeps its headers, a credential included")
+{
+    const auto call = callWith({{"Authorization", "Token a"}});
+    const auto sent = attemptHead(call, "i-1", 640_ms);
+    CHECK(Http::find(sent.headers, "Authorization") == "Token a");
+    CHECK_FALSE(Http::find(sent.headers, "Laburnummast-Tenant-Name"));
+}
