An answer whose status no response can have is incomplete

Both parsers accept any three digits. The entry daemon took 000 to 099 for interim responses and waited for another one until the time limit, and passed 600 to 999 on to callers as server errors; with the not-executed header such an answer counted as not run, so that a call could run twice. The blocking client of the other daemon took 600 to 999 for answers.

Statuses outside 100 to 599 now end the exchange as malformed as soon as the head is complete, whatever the head says and whichever request it names: the call may have run. Answers are also classified as unusable, and probes as failed, by their status alone.

--- a/src/http/clientconnection.cpp
+++ b/src/http/clientconnection.cpp
@@ -217,6 +217,11 @@
             break;
         }
     }
+    // The parser accepts any three digits. What such a response says about the request is unknown, also if it names another request.
+    if (m_parser->is_header_done() && !isValidStatus(static_cast<int>(m_parser->get().result_int()))) {
+        fail(ClientError::Malformed);
+        return;
+    }
     if (!reserveBody()) {
         waitForMemory();
         return;
--- a/src/http/clientconnection.h
+++ b/src/http/clientconnection.h
@@ -27,7 +27,7 @@
     CannotConnect,
     /// The connection closed before the response was complete.
     ConnectionLost,
-    /// The received bytes are not a valid HTTP response.
+    /// The received bytes are not a valid HTTP response, or their status is none that a response can have.
     Malformed,
     /// The response, or the other responses before it, are longer than the limits allow.
     TooLarge,
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -80,6 +80,11 @@
     return tokens;
 }
 
+bool isValidStatus(int status)
+{
+    return status >= 100 && status < 600;
+}
+
 std::string_view reasonPhrase(int status)
 {
     const auto reason = boost::beast::http::obsolete_reason(boost::beast::http::int_to_status(static_cast<unsigned>(status)));
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -56,6 +56,9 @@
 /// Names of further hop-by-hop headers that the `Connection` headers of a message list.
 std::vector<std::string> connectionTokens(const Headers &headers);
 
+/// Whether a response can have this status code: 100 to 599; RFC 9110, section 15.
+bool isValidStatus(int status);
+
 /// Standard reason phrase of a status code; a placeholder for an unknown code.
 std::string_view reasonPhrase(int status);
 
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -19,6 +19,8 @@
 constexpr int statusNotModified = 304;
 // Lower statuses are informational.
 constexpr int firstFinalStatus = 200;
+// Higher statuses are undefined; RFC 9110, section 15.
+constexpr int lastStatus = 599;
 
 std::string encodeHead(const ClientRequest &request, const Address &address)
 {
@@ -147,7 +149,7 @@
         return expired ? HttpError::TimedOut : HttpError::BrokenOff;
     }
     const auto *info = mg_get_response_info(m_connection);
-    if (info == nullptr || info->status_code < firstFinalStatus) {
+    if (info == nullptr || info->status_code < firstFinalStatus || info->status_code > lastStatus) {
         return HttpError::Malformed;
     }
     ResponseHead head{.status = info->status_code, .headers = {}, .contentLength = std::nullopt};
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -25,7 +25,7 @@
     TimedOut,
     /// The connection closed or failed before the response was complete.
     BrokenOff,
-    /// The response is not valid HTTP, or its body exceeds the limit.
+    /// The response is not valid HTTP, has a status that no final response can have, or its body exceeds the limit.
     Malformed,
 };
 
--- a/src/platform/requests.cpp
+++ b/src/platform/requests.cpp
@@ -129,6 +129,10 @@
 
 Entry::AnswerKind answerKindOf(const Http::Response &response)
 {
+    // Nothing else in such a response is reliable, a header that it was not executed included.
+    if (!Http::isValidStatus(response.status)) {
+        return Entry::AnswerKind::Unusable;
+    }
     if (Http::find(response.headers, notExecutedHeader)) {
         return response.status == misdirectedRequest ? Entry::AnswerKind::WrongInstance : Entry::AnswerKind::NotRun;
     }
@@ -254,7 +258,8 @@
 {
     const auto instance = Http::find(response.headers, instanceIdHeader);
     // A refusal for lack of a free slot is a matter of load; the upstream is healthy.
-    const bool refused = response.status != 200 && Http::find(response.headers, notExecutedHeader).has_value();
+    const bool refused
+        = Http::isValidStatus(response.status) && response.status != 200 && Http::find(response.headers, notExecutedHeader).has_value();
     return {.answered = true,
             .healthy = response.status == 200 || refused,
             .wrongInstance = instance && *instance != upstream,
--- a/tests/http/answerends.cpp
+++ b/tests/http/answerends.cpp
@@ -220,6 +220,64 @@
     }
 }
 
+// Guards against the same on a connection that an earlier exchange used, and against an answer whose other kind of end is taken as reached.
+TEST_CASE("An answer that is reset while the request is still being sent on a kept connection is not delivered")
+{
+    const auto request = longRequest();
+    for (const auto &bytes : {headWithoutLength + "a part",
+                              std::string("HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n6\r\na part\r\n"),
+                              std::string("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 7\r\n\r\na part"),
+                              std::string("HTTP/1.0 200 OK\r\nId: 1\r\n\r\na part")}) {
+        CAPTURE(bytes);
+        Link link;
+        link.startExchange(smallRequest);
+        link.answer(firstAnswer);
+        REQUIRE(link.result() == "answered x");
+        link.startExchange(request);
+        link.answer(bytes);
+        link.end(StreamEnd::Reset);
+        CHECK(link.result() == "connection-lost");
+    }
+}
+
+// Guards against an upstream in trouble whose answer has a status that no answer can have: 000 and 099 waited for another answer as after
+// an interim one, 600 and 999 were delivered.
+TEST_CASE("An answer whose status is not three digits from 100 to 599 ends the exchange as malformed, whatever else it carries")
+{
+    const std::vector<std::string> statuses{
+        "000", "001", "099", "600", "999", "0", "20", "2000", "-20", "-200", "+20", "2e2", " 200", "abc", ""};
+    const std::vector<std::string> rests{"\r\nId: 1\r\nContent-Length: 1\r\n\r\nx",
+                                         "\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n",
+                                         "\r\nId: 1\r\n\r\nx",
+                                         "\r\nId: 2\r\nContent-Length: 1\r\n\r\nx",
+                                         "\r\nContent-Length: 0\r\n\r\n"};
+    for (const auto &status : statuses) {
+        CAPTURE(status);
+        for (const auto &rest : rests) {
+            CAPTURE(rest);
+            const auto bytes = "HTTP/1.1 " + status + " Odd" + rest;
+            for (const bool onKeptConnection : {false, true}) {
+                CHECK(resultOf(bytes, StreamEnd::HalfClosed, onKeptConnection) == "malformed");
+                CHECK(resultOf(bytes, StreamEnd::HalfClosed, onKeptConnection, true) == "malformed");
+                CHECK(resultOf("HTTP/1.1 100 Continue\r\n\r\n" + bytes, StreamEnd::HalfClosed, onKeptConnection) == "malformed");
+            }
+        }
+    }
+}
+
+TEST_CASE("An answer with an invalid status that comes while the request is still being sent is not delivered")
+{
+    for (const std::string status : {"000", "600"}) {
+        for (const auto end : {StreamEnd::Closed, StreamEnd::Reset, StreamEnd::HalfClosed}) {
+            Link link;
+            link.startExchange(longRequest());
+            link.answer("HTTP/1.1 " + status + " Odd\r\nId: 1\r\n\r\na part");
+            link.end(end);
+            CHECK(link.result() == "malformed");
+        }
+    }
+}
+
 TEST_CASE("An answer without a length whose server closes without reading the rest of the request is not delivered")
 {
     Link link;
--- a/tests/platform/requests.cpp
+++ b/tests/platform/requests.cpp
@@ -117,6 +117,20 @@
     CHECK(decodeAnswer(response(421, {})).kind == AnswerKind::WrongInstance);
 }
 
+// Guards against a call that ran and is taken as not run, or an answer that reaches the caller, because of a header beside such a status.
+TEST_CASE("A response whose status no response can have is unusable, also if it is signed or marked as not executed")
+{
+    const Http::Header notExecuted{"Laburnummast-Not-Executed", "1"};
+    for (const int status : {-200, -1, 0, 1, 20, 99, 600, 999, 1000, 2000}) {
+        CAPTURE(status);
+        CHECK(decodeAnswer(response(status, {})).kind == AnswerKind::Unusable);
+        CHECK(decodeAnswer(response(status, {signature})).kind == AnswerKind::Unusable);
+        CHECK(decodeAnswer(response(status, {notExecuted})).kind == AnswerKind::Unusable);
+        CHECK(decodeAnswer(response(status, {signature, notExecuted})).kind == AnswerKind::Unusable);
+        CHECK_FALSE(decodeProbeResponse(response(status, {notExecuted}), "i-1").healthy);
+    }
+}
+
 TEST_CASE("A server error or a signed client error of an upstream is passed on, an unsigned client error is not")
 {
     CHECK(decodeAnswer(response(500, {})).kind == AnswerKind::Failure);
