An upstream record without one of its fields defines no upstream

Records of other writers may lack fields or have them of another type, and name no upstream to use then. version, cold-remaining and the start time were optional and sequence-number was not read, so that such a record under the id of a running upstream sent the calls of another service to it.

All fields but the start time are now required with their types, and numbers of slots, sequence numbers and start times must be whole. A start time of null is an error; upstreams without one exist, so a missing one is none. The two new cases failed before the change.

--- a/src/platform/records.cpp
+++ b/src/platform/records.cpp
@@ -4,6 +4,7 @@
 #include "platform/settings.h"
 
 #include <boost/asio/ip/address_v4.hpp>
+#include <cmath>
 #include <limits>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -49,6 +50,13 @@
         return value->get<double>();
     }
 
+    double wholeNumber(const char *name, double minimum, double maximum)
+    {
+        const auto *value = find(name);
+        const auto read = number(name, minimum, maximum);
+        return std::floor(read) == read ? read : fail<double>(value);
+    }
+
     bool flag(const char *name)
     {
         const auto *value = find(name);
@@ -62,6 +70,12 @@
         return parsed ? *parsed : fail<Millis>(value);
     }
 
+    // Whether the field is present, with any value.
+    bool contains(const char *name) const
+    {
+        return m_object.contains(name);
+    }
+
     // Whether an optional field is present; null counts as missing.
     bool has(const char *name) const
     {
@@ -96,6 +110,9 @@
 // Numbers are read as double; integers up to these limits fit in an int.
 constexpr double maxSlots = 1e6;
 constexpr double maxCount = 1e9;
+// Integers up to this are exact as double.
+constexpr double maxSequenceNumber = 9e15;
+constexpr double maxStartTime = 1e15;
 
 // An address that can be connected to; empty if the text is none.
 std::optional<Membership::Address> decodeAddress(std::string_view text)
@@ -285,19 +302,18 @@
     const auto address = decodeAddress(fields.text("address"));
     // The platform calls a failure domain a zone.
     record.domain = fields.text("zone");
-    record.slots = static_cast<int>(fields.number("slots", 1, maxSlots));
+    record.slots = static_cast<int>(fields.wholeNumber("slots", 1, maxSlots));
     const auto state = fields.text("state");
     // In this record the version is that of the upstream's software, not of the record.
-    if (fields.has("version")) {
-        record.softwareVersion = fields.text("version");
-    }
+    record.softwareVersion = fields.text("version");
     // Remaining warm-up time as of the record.
-    if (fields.has("cold-remaining")) {
-        record.warmUpRemaining = fields.duration("cold-remaining");
-    }
-    // Unix time in milliseconds at which the upstream that wrote the record started, not the time of the record.
-    if (fields.has("born")) {
-        record.startedAt = static_cast<std::int64_t>(fields.number("born", 0, 1e15));
+    record.warmUpRemaining = fields.duration("cold-remaining");
+    // Every upstream numbers its records. The value is not used, but a record without one comes from another writer.
+    fields.wholeNumber("sequence-number", 0, maxSequenceNumber);
+    // Unix time in milliseconds at which the upstream that wrote the record started, not the time of the record. Not every upstream
+    // states it.
+    if (fields.contains("born")) {
+        record.startedAt = static_cast<std::int64_t>(fields.wholeNumber("born", 0, maxStartTime));
     }
     if (fields.error()) {
         return *fields.error();
--- a/src/platform/records.h
+++ b/src/platform/records.h
@@ -30,6 +30,9 @@
 std::string_view routesKey();
 
 /// Decodes the record of the upstream whose id is `key`; unknown fields are ignored.
+///
+/// A record that lacks a field, or has one of another type, may come from another writer and defines no upstream. Only the start time is
+/// optional.
 Result<Fleet::UpstreamRecord, RecordError> decodeUpstream(std::string_view key, std::string_view value);
 /// Decodes the routes, services and limits; unknown fields are ignored.
 Result<Routes::RouteTable, RecordError> decodeRoutes(std::string_view value);
--- a/tests/platform/records.cpp
+++ b/tests/platform/records.cpp
@@ -4,7 +4,9 @@
 
 #include <doctest/doctest.h>
 #include <random>
+#include <string>
 #include <utility>
+#include <vector>
 
 using namespace Laburnummast;
 using namespace Laburnummast::Platform;
@@ -82,6 +84,51 @@
     CHECK(errorOf(replaced(upstreamRecord, "\"ready\"", "\"sleeping\"")) == RecordError::UnknownWord);
 }
 
+// Guards against a record of another writer that is taken for one of the upstream itself, so that calls run at another service.
+TEST_CASE("An upstream record without one of its fields, or with one of another type, defines no upstream")
+{
+    struct Field
+    {
+        std::string name;
+        std::string text;
+        std::vector<std::string> others;
+    };
+    const std::vector<Field> fields{
+        {"service", R"("service":"huvo11a",)", {"7", "null", "[]"}},
+        {"address", R"("address":"10.128.0.9:8080",)", {"7", "null", "{}"}},
+        {"zone", R"("zone":"palermo-a",)", {"7", "null", "[]"}},
+        {"version", R"("version":"v1",)", {"1", "null", "true", "[]", "{}"}},
+        {"slots", R"("slots":3,)", {"\"3\"", "null", "true", "2.5", "-1"}},
+        {"state", R"("state":"ready",)", {"1", "null", "true"}},
+        {"cold-remaining", R"("cold-remaining":"1500ms",)", {"1500", "null", "\"1500\"", "\"\"", "[]"}},
+        {"sequence-number", R"("sequence-number":4,)", {"\"4\"", "null", "true", "4.5", "-1", "[4]", "1e300"}},
+    };
+    for (const auto &it : fields) {
+        CAPTURE(it.name);
+        CHECK(errorOf(replaced(upstreamRecord, it.text, "")) == RecordError::FieldMissing);
+        CHECK(errorOf(replaced(upstreamRecord, Text::concat("\"", it.name, "\":"), Text::concat("\"x-", it.name, "\":")))
+              == RecordError::FieldMissing);
+        for (const auto &other : it.others) {
+            CAPTURE(other);
+            CHECK(errorOf(replaced(upstreamRecord, it.text, Text::concat("\"", it.name, "\":", other, ","))) == RecordError::FieldInvalid);
+        }
+    }
+    CHECK(errorOf(R"({"service":"s","address":"10.0.0.1:80","zone":"a","slots":3,"state":"ready"})") == RecordError::FieldMissing);
+}
+
+TEST_CASE("An upstream record needs no start time, and one that is no whole number defines no upstream")
+{
+    const auto decoded = decodeUpstream("i-1",
+                                        R"({"service":"huvo11a","address":"10.128.0.9:8080","zone":"mu-east-a","version":"v1","slots":6,)"
+                                        R"("state":"ready","cold-remaining":"0ms","sequence-number":4})");
+    REQUIRE(std::holds_alternative<Fleet::UpstreamRecord>(decoded));
+    CHECK(std::get<Fleet::UpstreamRecord>(decoded).startedAt == 0);
+    for (const auto *other : {"\"1700000000123\"", "null", "true", "1700000000123.5", "-1", "[]", "{}"}) {
+        CAPTURE(other);
+        CHECK(errorOf(replaced(upstreamRecord, "1700000000123", other)) == RecordError::FieldInvalid);
+    }
+}
+
 TEST_CASE("Routes are decoded with their kinds, traffic splits, limits and services")
 {
     const auto decoded = decodeRoutes(routesRecord);
