--- a/src/core/routes/routetable.cpp
+++ b/src/core/routes/routetable.cpp
@@ -61,6 +61,11 @@
     return nullptr;
 }
 
+bool RouteTable::isMatchableHost(std::string_view host)
+{
+    return !host.empty() && stripPort(host) == host;
+}
+
 const ServiceSpec *RouteTable::service(std::string_view name) const
 {
     const auto it = m_services.find(name);
--- a/src/core/routes/routetable.h
+++ b/src/core/routes/routetable.h
@@ -47,6 +47,12 @@
     {
         return m_services;
     }
+    const std::vector<Route> &routes() const
+    {
+        return m_routes;
+    }
+    /// Whether a route of this host can match: requests are looked up by their host without its port.
+    static bool isMatchableHost(std::string_view host);
     std::size_t routeCount() const
     {
         return m_routes.size();
