The decoder of the routes tells every problem of a record and its place

It returned the first error without a place, replaced unreadable limits by defaults silently, and gave services 0 connections or an empty health path if those fields had another type. decodeRoutes() can now list all problems: fields that reject the record, that are replaced by defaults, and that are not used. Which records the daemons reject is unchanged.

--- a/src/platform/records.h
+++ b/src/platform/records.h
@@ -3,10 +3,13 @@
 
 #include "core/fleet/upstreamrecord.h"
 #include "core/result.h"
+#include "core/routes/configplace.h"
 #include "core/routes/routetable.h"
 
 #include <cstdint>
+#include <string>
 #include <string_view>
+#include <vector>
 
 namespace Laburnummast::Platform
 {
@@ -21,11 +24,28 @@
     FieldInvalid,
     /// A field holds none of the words that are defined for it.
     UnknownWord,
+    /// A field that is not used; never a reason to reject a record.
+    FieldUnknown,
 };
 
 /// Name of the error for log lines.
 std::string_view nameOf(RecordError error);
 
+/// A field of the routes that cannot be used.
+struct RecordProblem
+{
+    RecordError error = RecordError::Unreadable;
+    Routes::ConfigEntry entry = Routes::ConfigEntry::Whole;
+    /// Name of a route, service or workspace; otherwise empty.
+    std::string name;
+    /// Name of the field in the record; empty for the entry itself.
+    std::string field;
+    /// What the field must be; empty if any value is ignored.
+    std::string expected;
+    /// Whether the whole record is rejected; otherwise defaults are used or the field is ignored.
+    bool rejectsRecord = true;
+};
+
 /// Key of the record of the routes topic that holds the routes.
 std::string_view routesKey();
 
@@ -36,6 +56,11 @@
 Result<Fleet::UpstreamRecord, RecordError> decodeUpstream(std::string_view key, std::string_view value);
 /// Decodes the routes, services and limits; unknown fields are ignored.
 Result<Routes::RouteTable, RecordError> decodeRoutes(std::string_view value);
+/// The same, and adds all problems of the record to `problems`, unknown fields among them.
+Result<Routes::RouteTable, RecordError> decodeRoutes(std::string_view value, std::vector<RecordProblem> &problems);
+
+/// Name of a field of the routes in the record.
+std::string_view nameOf(Routes::ConfigField field);
 
 }
 
