laburnummast check-routes checks a configuration record before it is sent

It decodes a file with the decoder of the daemons and lists what they would reject, replace by a default or never use, entries that can never match, and limits that contradict each other; with --in_force also what changes. It sends nothing. Exit codes: 0 without findings, 1 with errors, 5 with warnings only, 2 if a file or the command line cannot be used.

--- a/src/cli/command.h
+++ b/src/cli/command.h
@@ -12,7 +12,8 @@
 /// Exit code of the program.
 enum class ExitCode : int {
     Ok = 0,
-    /// The answer is negative: a note was rejected, the usage records have faults, or no log line names the call.
+    /// The answer is negative: a note was rejected, a configuration has errors, the usage records have faults, or no log line names the
+    /// call.
     Refused = 1,
     /// The command line, a file or a note is invalid.
     Usage = 2,
@@ -20,6 +21,8 @@
     Unreachable = 3,
     /// The operator's credential is missing or was rejected.
     Denied = 4,
+    /// check-routes: the configuration has warnings, but no errors.
+    Warnings = 5,
 };
 
 /// Positional arguments that follow the command's name.
@@ -40,6 +43,8 @@
 
 /// Checks the syntax of a release note without contacting a daemon.
 ExitCode checkNote(Arguments arguments);
+/// Checks the file of a configuration record without contacting a daemon.
+ExitCode checkRoutes(Arguments arguments);
 /// Writes the note that turns the configuration in force into the declared one.
 ExitCode planNote(Arguments arguments);
 /// Publishes a note and waits until it is in force on every live daemon.
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -18,8 +18,13 @@
 
 constexpr std::size_t anyArgumentCount = static_cast<std::size_t>(-1);
 
-constexpr std::array<Command, 11> commandTable{{
+constexpr std::array<Command, 12> commandTable{{
     {"check", "NOTE", "checks the syntax of a release note without contacting a daemon", 1, checkNote},
+    {"check-routes",
+     "FILE",
+     "checks a configuration record before it is sent, and compares it with the one in force (--in_force, --format)",
+     1,
+     checkRoutes},
     {"plan",
      "DECLARATIONS",
      "writes the note that turns the configuration in force into the declared one (--daemon, --id, --author)",
@@ -48,11 +53,11 @@
 {
     std::string text = "laburnummast COMMAND [ARGUMENT] [flags]\n\ncommands:\n";
     for (const auto &it : commandTable) {
-        Text::append(text, absl::StrFormat("  %-9s %-21s %s\n", it.name, it.synopsis, it.description));
+        Text::append(text, absl::StrFormat("  %-12s %-21s %s\n", it.name, it.synopsis, it.description));
     }
     Text::append(text,
                  "\nflags: --daemon=IP:PORT --log=IP:PORT --key_file=FILE --format=text|json\n"
-                 "exit codes: 0 ok, 1 refused, 2 usage, 3 unreachable, 4 denied\n");
+                 "exit codes: 0 ok, 1 refused, 2 usage, 3 unreachable, 4 denied, 5 warnings\n");
     return text;
 }
 
