check-routes accepts several attempts for calls that are not idempotent

The finding said that one attempt has the same effect. That is wrong: an upstream that sheds such a call has not run it, and the call is then sent to another one (ServiceDispatcher, mayRetry()). It would have been reported for every proper configuration of the deployments.

--- a/src/core/routes/configcheck.cpp
+++ b/src/core/routes/configcheck.cpp
@@ -110,9 +110,6 @@
                        ConfigField::Objective,
                        Text::concat(route.objective.count, "ms, timeout ", route.timeout.count, "ms"));
         }
-        if (!route.idempotent && route.maxAttempts > 1) {
-            addToRoute(route, ConfigProblem::MoreAttemptsThanUsed, ConfigField::MaxAttempts, Text::concat(route.maxAttempts));
-        }
         if (route.isPublic && !m_table.workspaces()) {
             addToRoute(route, ConfigProblem::PublicWithoutWorkspaces, ConfigField::Public);
         }
--- a/src/core/routes/configfinding.cpp
+++ b/src/core/routes/configfinding.cpp
@@ -40,8 +40,6 @@
         return {Severity::Error, "objective-above-timeout", "the target latency is above the timeout of the route"};
     case TimeoutZero:
         return {Severity::Error, "timeout-zero", "no request can be completed within 0 ms"};
-    case MoreAttemptsThanUsed:
-        return {Severity::Warning, "more-attempts-than-used", "a call of this kind runs at one upstream at most, so 1 has the same effect"};
     case PublicWithoutWorkspaces:
         return {Severity::Warning, "public-without-workspaces", "has no effect: without workspaces no call needs a credential"};
     case ServiceUnused:
--- a/src/core/routes/configfinding.h
+++ b/src/core/routes/configfinding.h
@@ -29,7 +29,6 @@
     ServiceUndefined,
     ObjectiveAboveTimeout,
     TimeoutZero,
-    MoreAttemptsThanUsed,
     PublicWithoutWorkspaces,
     ServiceUnused,
     HealthPathNeverAnswered,
