check-routes reports names that occur twice in one object

Of a route, service or workspace that is written twice, the decoder keeps the last without a trace, so the check reads the names once more while it parses. Test: entry-tests (cli/routescheck), one new case.

--- a/src/cli/routescheck.cpp
+++ b/src/cli/routescheck.cpp
@@ -58,6 +58,8 @@
     switch (problem.error) {
     case Platform::RecordError::FieldUnknown:
         return "the daemons do not use this field";
+    case Platform::RecordError::NameRepeated:
+        return "occurs more than once, the daemons use the last one only";
     case Platform::RecordError::FieldMissing:
         return Text::concat("is missing, must be ", problem.expected, "; ", consequence);
     case Platform::RecordError::Unreadable:
@@ -104,6 +106,9 @@
     RoutesCheck check;
     std::vector<Platform::RecordProblem> problems;
     const auto decoded = Platform::decodeRoutes(text, problems);
+    for (auto &it : Platform::findRepeatedNames(text)) {
+        problems.push_back(std::move(it));
+    }
     for (const auto &it : problems) {
         check.findings.push_back(toPlace(it));
     }
--- a/src/platform/records.cpp
+++ b/src/platform/records.cpp
@@ -41,6 +41,8 @@
         return "unknown-word";
     case RecordError::FieldUnknown:
         return "unknown-field";
+    case RecordError::NameRepeated:
+        return "repeated-name";
     }
     return "unknown";
 }
--- a/src/platform/records.h
+++ b/src/platform/records.h
@@ -26,6 +26,8 @@
     UnknownWord,
     /// A field that is not used; never a reason to reject a record.
     FieldUnknown,
+    /// A name that occurs more than once in an object, of which the last is used. Not found by decoding; see findRepeatedNames().
+    NameRepeated,
 };
 
 /// Name of the error for log lines.
@@ -59,6 +61,9 @@
 /// The same, and adds all problems of the record to `problems`, unknown fields among them.
 Result<Routes::RouteTable, RecordError> decodeRoutes(std::string_view value, std::vector<RecordProblem> &problems);
 
+/// Finds names that occur more than once in one object of a record, given with the names of the objects around them.
+std::vector<RecordProblem> findRepeatedNames(std::string_view value);
+
 /// Name of a field of the routes in the record.
 std::string_view nameOf(Routes::ConfigField field);
 
--- a/src/platform/routesrecord.cpp
+++ b/src/platform/routesrecord.cpp
@@ -1,3 +1,4 @@
+#include "core/text.h"
 #include "platform/fieldreader.h"
 #include "platform/records.h"
 
@@ -5,6 +6,7 @@
 #include <iterator>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <string>
 
 namespace Laburnummast::Platform
@@ -281,4 +283,37 @@
     return table;
 }
 
+std::vector<RecordProblem> findRepeatedNames(std::string_view value)
+{
+    struct Level
+    {
+        std::set<std::string> names;
+        std::string current;
+    };
+    std::vector<Level> levels;
+    std::vector<RecordProblem> problems;
+    const auto onEvent = [&](int, Json::parse_event_t event, const Json &parsed) {
+        if (event == Json::parse_event_t::object_start) {
+            levels.emplace_back();
+        } else if (event == Json::parse_event_t::object_end) {
+            levels.pop_back();
+        } else if (event == Json::parse_event_t::key) {
+            auto &level = levels.back();
+            level.current = parsed.get<std::string>();
+            if (!level.names.insert(level.current).second) {
+                std::vector<std::string> path;
+                for (const auto &it : levels) {
+                    path.push_back(it.current);
+                }
+                problems.push_back(
+                    {.error = RecordError::NameRepeated, .field = Text::join(path, "."), .expected = {}, .rejectsRecord = false});
+            }
+        }
+        return true;
+    };
+    // A text that is no JSON is reported by decodeRoutes().
+    const auto ignored = Json::parse(value.begin(), value.end(), onEvent, false);
+    return problems;
+}
+
 }
--- a/tests/cli/routescheck.cpp
+++ b/tests/cli/routescheck.cpp
@@ -84,6 +84,17 @@
           == "error limits  header-timeout limit-zero\n");
 }
 
+// Guards against a route that is written twice, of which the decoder keeps the last without a trace.
+TEST_CASE("Names that occur twice in one object are reported, the same name in different objects is not")
+{
+    const std::string secondRoute
+        = R"("routes":{"r1":{"host":"h.example","path-prefix":"/q/","kind":"safe","timeout":"800ms","target-latency":"300ms","service":"s1"},)";
+    CHECK(findingsOf(replaced(properRecord, R"("routes":{)", secondRoute)) == "error configuration  routes.r1 repeated-name\n");
+    CHECK(findingsOf(replaced(properRecord, R"("burst":3)", R"("burst":3,"burst":4)"))
+          == "error configuration  tenants.w1.burst repeated-name\n");
+    CHECK(findingsOf(replaced(properRecord, R"("w1":{)", R"("s1":{"api-keys":["k"]},"w1":{)")).empty());
+}
+
 TEST_CASE("Findings and differences have the names of the record's fields, and no key is printed")
 {
     const auto inForce = std::get<Routes::RouteTable>(Platform::decodeRoutes(properRecord));
