Split the dispatcher of a service into types with one job each

The choice among upstreams, the computation of waits, the pressure, the state of a call and what probes teach are now types of their own. No change of behaviour is intended.

--- a/src/core/placement/servicedispatcher.cpp
+++ b/src/core/placement/servicedispatcher.cpp
@@ -11,55 +11,16 @@
 using Dispatch::Disposition;
 using Dispatch::RefusalReason;
 
-// An upstream is suitable up to this slowness.
-constexpr double maxSuitableSlowness = 1.5;
-// An upstream that fails more often than this is chosen only if no other is suitable.
-constexpr double maxSuitableFailureRate = 0.2;
-// Cost of a failure in multiples of the expected latency: the call has to be made again.
-constexpr double failureCostFactor = 6;
-// Relative cost of each call already at the upstream: further calls may be on their way to it unseen.
-constexpr double costPerCall = 0.05;
-// Latency penalty of another failure domain, for normal and for bulk calls.
-constexpr Millis crossDomainCost = 6_ms;
-constexpr Millis crossDomainBulkCost = 40_ms;
 // A hedge is sent once a call takes this multiple of the typical latency.
 constexpr double hedgeDelayFactor = 1.6;
-constexpr int maxProbeRounds = 2;
 // A daemon with few calls still chooses among this many upstreams.
 constexpr std::size_t minFamiliarUpstreams = 16;
 // Share of waiting calls that are sent to a free slot of an upstream rejected for its expected contention: a learned factor could
 // never be corrected if no call were sent against it. The second value applies while too few answers support the factor.
 constexpr double trialProbability = 0.03;
 constexpr double untrainedTrialProbability = 0.25;
-// An upstream that this daemon does not prefer counts as slower by this factor: calls of other daemons reach it unseen.
-constexpr double nonPreferredCostFactor = 1.5;
-// Latencies vary around the typical one; most calls take less than this multiple of it.
-constexpr double latencyMarginFactor = 1.25;
-// If the caller will not try again, a call that can no longer meet its objective still waits for an otherwise unused slot: for this
-// share of the time from its arrival to its deadline.
-constexpr double lateWaitShare = 0.25;
-// Weight of one search in the moving average of the pressure, and the pressure above which slots are reserved for calls that can
-// still be in time and no hedges are sent.
-constexpr double pressureUpdateWeight = 0.1;
-constexpr double highPressure = 0.3;
-// Up to this pressure free slots are plentiful, so that fewer probes are needed and distance is taken into account.
-constexpr double lowPressure = 0.05;
 // Up to this fill level of the probe token bucket, fewer upstreams are probed in the first round.
 constexpr double scarceProbeFillLevel = 0.3;
-// Load reports up to this age are used if probe tokens ran out.
-constexpr Millis maxStaleReportAge = 100_ms;
-// After this many consecutive answers without load the service counts as one whose upstreams do not report load.
-constexpr int probesToAssumeNoLoad = 6;
-// How long after the deadline an answer of the upstream itself is still awaited.
-constexpr Millis answerGrace = 40_ms;
-// An upstream gets at most as many calls as it has slots, plus this many queued ones: it resets connections once its queue is full.
-constexpr double maxQueuedPerUpstream = 2;
-
-// Order in which waiting calls get upstreams.
-bool goesBefore(const CallSpec &a, const CallSpec &b)
-{
-    return a.rank != b.rank ? a.rank < b.rank : a.objective < b.objective;
-}
 
 }
 
@@ -68,6 +29,8 @@
     , m_random(seed)
     , m_budget(options.retries)
     , m_probeTokens(probeTokens)
+    , m_chooser(m_upstreams, m_latencyModel, m_pressure, m_options)
+    , m_waitPolicy(m_upstreams, m_latencyModel)
 {
 }
 
@@ -107,9 +70,7 @@
 
 std::size_t ServiceDispatcher::waitingCalls() const
 {
-    return static_cast<std::size_t>(std::count_if(m_calls.begin(), m_calls.end(), [](const auto &it) {
-        return it.second.search == Search::First && it.second.probeRounds >= maxProbeRounds;
-    }));
+    return static_cast<std::size_t>(std::count_if(m_calls.begin(), m_calls.end(), [](const auto &it) { return it.second.isWaiting(); }));
 }
 
 void ServiceDispatcher::submit(const CallSpec &spec, Millis now, Actions &actions)
@@ -122,8 +83,8 @@
     call.arrived = now;
     if (m_upstreams.listedCount() == 0) {
         ++m_counters.refused;
-        actions.emplace_back(
-            Dispatch::RefuseCall{.call = spec.id, .reason = RefusalReason::NoUpstream, .retryAfter = retryAfter(call, now)});
+        actions.emplace_back(Dispatch::RefuseCall{
+            .call = spec.id, .reason = RefusalReason::NoUpstream, .retryAfter = m_waitPolicy.retryAfter(call, m_calls, now, m_random)});
         m_calls.erase(spec.id);
         return;
     }
@@ -167,26 +128,15 @@
     call.lackedProbeTokens = false;
     call.probed.clear();
     // Two upstreams are enough while free slots are plentiful, and more cannot be probed while tokens are scarce.
-    const bool probeFewer = m_pressure <= lowPressure || m_probeTokens.fillLevel(now) <= scarceProbeFillLevel;
+    const bool probeFewer = m_pressure.isLow() || m_probeTokens.fillLevel(now) <= scarceProbeFillLevel;
     startProbeRound(call, probeFewer ? m_options.reducedFirstRoundProbes : m_options.firstRoundProbes, now, actions);
 }
 
-bool ServiceDispatcher::isEligible(const UpstreamEntry &entry, Millis now) const
-{
-    return entry.listed && !entry.view.inBackoff(now) && entry.availability.accepts(now) && entry.limit.allowsCall(now);
-}
-
-bool ServiceDispatcher::isPreferred(const UpstreamEntry &entry, Millis now) const
-{
-    // Few daemons call an upstream with a limit, so that nearly all calls running there are theirs.
-    return entry.limit.perSecond(now) ? entry.limit.hasShare(now) : entry.preferred;
-}
-
 std::size_t ServiceDispatcher::familiarCount(Millis now) const
 {
     // Under pressure a free slot is worth more than a kept connection, and at first the rate of calls is unknown.
     const bool rateKnown = m_firstCallAt && now - *m_firstCallAt >= m_options.retries.window;
-    if (m_pressure > lowPressure || !rateKnown) {
+    if (!m_pressure.isLow() || !rateKnown) {
         return m_upstreams.size();
     }
     // Each call probes about one upstream besides the preferred ones.
@@ -194,38 +144,13 @@
     return std::max(static_cast<std::size_t>(callsPerLifetime), minFamiliarUpstreams);
 }
 
-std::vector<UpstreamId> ServiceDispatcher::selectForProbing(const OpenCall &call, std::size_t count, Millis now)
-{
-    std::vector<UpstreamId> order;
-    for (UpstreamId id = 0; id < m_upstreams.size(); ++id) {
-        const bool tried = std::find(call.triedUpstreams.begin(), call.triedUpstreams.end(), id) != call.triedUpstreams.end();
-        const bool probed = std::find(call.probed.begin(), call.probed.end(), id) != call.probed.end();
-        if (isEligible(m_upstreams[id], now) && !tried && !probed) {
-            order.push_back(id);
-        }
-    }
-    std::shuffle(order.begin(), order.end(), m_random);
-    const auto familiar = familiarCount(now);
-    std::stable_partition(order.begin(), order.end(), [&](UpstreamId id) { return m_upstreams[id].affinityRank < familiar; });
-    std::stable_partition(order.begin(), order.end(), [&](UpstreamId id) { return isPreferred(m_upstreams[id], now); });
-    // Bulk calls probe their own failure domain first; other calls probe it for half of the count, since a suitable near upstream is
-    // as good as a far one. Under pressure domains are not distinguished, or the daemons of one domain would overload its upstreams.
-    const auto localWanted = call.spec.bulk ? order.size() : m_pressure <= lowPressure ? count / 2 : 0;
-    std::size_t localFound = 0;
-    std::stable_partition(order.begin(), order.end(), [&](UpstreamId id) {
-        return m_upstreams[id].view.spec().domain == m_options.domain && localFound++ < localWanted;
-    });
-    order.resize(std::min(order.size(), count));
-    return order;
-}
-
 void ServiceDispatcher::startProbeRound(OpenCall &call, std::size_t count, Millis now, Actions &actions)
 {
     ++call.probeRounds;
     call.pressureUpdated = false;
     call.probeRoundDeadline = now + m_options.probeRoundTimeout;
     call.nextStepAt = call.probeRoundDeadline;
-    for (const auto id : selectForProbing(call, count, now)) {
+    for (const auto id : m_chooser.selectForProbing(call, count, familiarCount(now), now, m_random)) {
         auto &entry = m_upstreams[id];
         call.probed.push_back(id);
         if (entry.probing || entry.view.hasFreshReport(now, m_options.maxReportAge)) {
@@ -248,68 +173,12 @@
         || std::none_of(call.probed.begin(), call.probed.end(), [&](UpstreamId id) { return m_upstreams[id].probing; });
 }
 
-std::optional<ServiceDispatcher::Choice> ServiceDispatcher::bestChoice(const OpenCall &call, Millis now) const
-{
-    std::optional<Choice> choice;
-    double lowestCost = 0;
-    for (UpstreamId id = 0; id < m_upstreams.size(); ++id) {
-        const auto &entry = m_upstreams[id];
-        const auto &view = entry.view;
-        const auto maxReportAge = call.lackedProbeTokens ? maxStaleReportAge : m_options.maxReportAge;
-        if (!isEligible(entry, now) || !view.hasFreshReport(now, maxReportAge)
-            || std::find(call.triedUpstreams.begin(), call.triedUpstreams.end(), id) != call.triedUpstreams.end()) {
-            continue;
-        }
-        if (view.estimatedCalls() + 1 > view.slots() + maxQueuedPerUpstream) {
-            continue;
-        }
-        const auto expectedLatency = m_latencyModel.expectedLatency(view.conditionForNextCall(now));
-        const bool crossDomain = view.spec().domain != m_options.domain;
-        const auto distanceCost = !crossDomain || m_pressure > lowPressure ? 0_ms : call.spec.bulk ? crossDomainBulkCost : crossDomainCost;
-        const double failureRate = view.failureRate(now);
-        const double preferenceFactor = isPreferred(entry, now) ? 1 : nonPreferredCostFactor;
-        const double cost
-            = preferenceFactor * expectedLatency.count * (1 + failureCostFactor * failureRate + costPerCall * view.estimatedCalls())
-            + distanceCost.count;
-        if (!choice || cost < lowestCost) {
-            choice = Choice{.upstream = id, .expectedLatency = expectedLatency};
-            lowestCost = cost;
-        }
-    }
-    return choice;
-}
-
-bool ServiceDispatcher::isSuitable(const OpenCall &call, const Choice &choice, Millis now) const
-{
-    const auto &view = m_upstreams[choice.upstream].view;
-    return m_latencyModel.increasesThroughput(view.estimatedCalls(), view.slots()) && view.slowness(now) <= maxSuitableSlowness
-        && view.failureRate(now) <= maxSuitableFailureRate && now + choice.expectedLatency <= call.spec.deadline;
-}
-
-bool ServiceDispatcher::isAcceptable(const OpenCall &call, const Choice &choice, Millis now) const
-{
-    const auto &view = m_upstreams[choice.upstream].view;
-    if (call.search == Search::Hedge || !m_latencyModel.increasesThroughput(view.estimatedCalls(), view.slots())) {
-        return false;
-    }
-    const auto latestUseful = now < call.spec.objective ? call.spec.objective : call.spec.deadline;
-    return now + choice.expectedLatency <= latestUseful;
-}
-
-std::optional<ServiceDispatcher::Choice> ServiceDispatcher::contentionTrial(OpenCall &call, Millis now)
+std::optional<Choice> ServiceDispatcher::contentionTrial(OpenCall &call, Millis now)
 {
     if (call.trialDecided || call.search != Search::First) {
         return std::nullopt;
     }
-    std::optional<Choice> choice;
-    for (UpstreamId id = 0; id < m_upstreams.size(); ++id) {
-        const auto &view = m_upstreams[id].view;
-        if (isEligible(m_upstreams[id], now) && view.hasFreshReport(now, m_options.maxReportAge) && view.hasFreeSlot()
-            && view.slowness(now) <= maxSuitableSlowness && view.failureRate(now) <= maxSuitableFailureRate) {
-            choice = Choice{.upstream = id, .expectedLatency = m_latencyModel.expectedLatency(view.conditionForNextCall(now))};
-            break;
-        }
-    }
+    const auto choice = m_chooser.trialChoice(now);
     if (!choice) {
         return std::nullopt;
     }
@@ -318,34 +187,16 @@
     return trialDraw(m_random) ? choice : std::nullopt;
 }
 
-std::optional<ServiceDispatcher::Choice> ServiceDispatcher::fallbackChoice(const OpenCall &call, Millis now) const
-{
-    std::optional<Choice> choice;
-    for (const auto id : call.probed) {
-        const auto &view = m_upstreams[id].view;
-        const bool hasRoom = view.inFlight() < view.slots();
-        if (isEligible(m_upstreams[id], now) && hasRoom && (!choice || view.inFlight() < m_upstreams[choice->upstream].view.inFlight())) {
-            choice = Choice{.upstream = id, .expectedLatency = m_latencyModel.typicalLatency()};
-        }
-    }
-    return choice;
-}
-
-bool ServiceDispatcher::wouldMissObjective(const OpenCall &call, Millis now) const
-{
-    return now + m_latencyModel.typicalLatency() * latencyMarginFactor > call.spec.objective;
-}
-
 bool ServiceDispatcher::displacesTimelyCalls(const OpenCall &call, Millis now) const
 {
-    return call.search == Search::First && m_pressure > highPressure && wouldMissObjective(call, now);
+    return call.search == Search::First && m_pressure.isHigh() && m_waitPolicy.wouldMissObjective(call, now);
 }
 
 void ServiceDispatcher::updatePressure(OpenCall &call, bool noneSuitable)
 {
     if (!call.pressureUpdated) {
         call.pressureUpdated = true;
-        m_pressure = m_pressure * (1 - pressureUpdateWeight) + (noneSuitable ? pressureUpdateWeight : 0);
+        m_pressure.update(noneSuitable);
     }
 }
 
@@ -357,11 +208,11 @@
     if (endsTooSoonFor(call.spec, now)) {
         return endSearch(call, now, actions);
     }
-    const auto choice = bestChoice(call, now);
-    const bool suitable = choice && isSuitable(call, *choice, now);
+    const auto choice = m_chooser.bestChoice(call, now);
+    const bool suitable = choice && m_chooser.isSuitable(call, *choice, now);
     // Upstreams that do not report load show a free slot by answering the probe quickly, so the first preferred one that answers is
     // used without waiting for the rest of the round.
-    const bool sendEarly = suitable && !m_upstreamsReportLoad && isPreferred(m_upstreams[choice->upstream], now);
+    const bool sendEarly = suitable && !m_probeLearner.upstreamsReportLoad() && m_chooser.isPreferred(m_upstreams[choice->upstream], now);
     if (!sendEarly && !probeRoundEnded(call, now)) {
         return false;
     }
@@ -377,7 +228,7 @@
     if (displacesTimelyCalls(call, now)) {
         return giveUp(call, now, actions);
     }
-    if (suitable || (choice && isAcceptable(call, *choice, now))) {
+    if (suitable || (choice && m_chooser.isAcceptable(call, *choice, now))) {
         send(call, *choice, now, actions);
         return false;
     }
@@ -388,9 +239,9 @@
     if (call.search == Search::Hedge) {
         return endSearch(call, now, actions);
     }
-    const auto roomAt = upstreamsLeaveRoomAt(call, now);
-    if (now >= waitLimit(call) || !roomAt || *roomAt > waitLimit(call)) {
-        const auto fallback = call.lackedProbeTokens && m_pressure <= highPressure ? fallbackChoice(call, now) : std::nullopt;
+    const auto roomAt = m_waitPolicy.upstreamsLeaveRoomAt(call, m_calls, now);
+    if (now >= m_waitPolicy.waitLimit(call) || !roomAt || *roomAt > m_waitPolicy.waitLimit(call)) {
+        const auto fallback = call.lackedProbeTokens && !m_pressure.isHigh() ? m_chooser.fallbackChoice(call, now) : std::nullopt;
         if (!fallback) {
             return giveUp(call, now, actions);
         }
@@ -401,7 +252,7 @@
     if (now >= nextProbeAt) {
         probeForWaitingCalls(call, now, actions);
     } else {
-        call.nextStepAt = std::min(nextProbeAt, waitLimit(call));
+        call.nextStepAt = std::min(nextProbeAt, m_waitPolicy.waitLimit(call));
     }
     return false;
 }
@@ -417,36 +268,6 @@
     return giveUp(call, now, actions);
 }
 
-std::optional<Millis> ServiceDispatcher::upstreamsLeaveRoomAt(const OpenCall &call, Millis now) const
-{
-    std::optional<Millis> unlimitedAt;
-    std::optional<Millis> limitedAt;
-    double sharesPerSecond = 0;
-    for (UpstreamId id = 0; id < m_upstreams.size(); ++id) {
-        const auto &entry = m_upstreams[id];
-        const auto acceptsAt = entry.availability.acceptsAt(now);
-        const auto limitAllowsAt = entry.limit.nextCallAt(now);
-        if (!entry.listed || !acceptsAt || !limitAllowsAt) {
-            continue;
-        }
-        const auto at = std::max(*acceptsAt, *limitAllowsAt);
-        auto &earliest = entry.limit.perSecond(now) ? limitedAt : unlimitedAt;
-        earliest = earliest ? std::min(*earliest, at) : at;
-        sharesPerSecond += entry.limit.perSecond(now) ? entry.limit.share() : 0;
-    }
-    if (unlimitedAt && *unlimitedAt <= now) {
-        return now;
-    }
-    if (limitedAt) {
-        const auto callsAhead = std::count_if(m_calls.begin(), m_calls.end(), [&](const auto &it) {
-            const auto &other = it.second;
-            return other.search == Search::First && other.probeRounds >= maxProbeRounds && goesBefore(other.spec, call.spec);
-        });
-        limitedAt = *limitedAt + 1_s * (static_cast<double>(callsAhead) / sharesPerSecond);
-    }
-    return limitedAt && unlimitedAt ? std::min(*limitedAt, *unlimitedAt) : limitedAt ? limitedAt : unlimitedAt;
-}
-
 void ServiceDispatcher::probeForWaitingCalls(OpenCall &call, Millis now, Actions &actions)
 {
     // The results of one round serve all waiting calls, and answers to earlier calls update the load reports as well.
@@ -459,16 +280,6 @@
     startProbeRound(call, probedRecently ? 0 : m_options.waitingRoundProbes, now, actions);
 }
 
-Millis ServiceDispatcher::waitLimit(const OpenCall &call) const
-{
-    if (call.search == Search::Retry) {
-        return call.spec.deadline - m_latencyModel.typicalLatency();
-    }
-    const auto inTime = call.spec.objective - m_latencyModel.typicalLatency() * latencyMarginFactor;
-    // A caller that will not return gets a late answer rather than none.
-    return call.spec.returning ? std::max(inTime, call.arrived + (call.spec.deadline - call.arrived) * lateWaitShare) : inTime;
-}
-
 void ServiceDispatcher::send(OpenCall &call, const Choice &choice, Millis now, Actions &actions)
 {
     auto &view = m_upstreams[choice.upstream].view;
@@ -482,7 +293,7 @@
                           .upstream = choice.upstream,
                           .sentAt = now,
                           .condition = view.conditionForNextCall(now),
-                          .reportedFreeSlot = m_upstreamsReportLoad && view.report() && view.hasFreeSlot()};
+                          .reportedFreeSlot = m_probeLearner.upstreamsReportLoad() && view.report() && view.hasFreeSlot()};
     view.recordAttemptSent();
     m_upstreams[choice.upstream].limit.recordCall(now);
     call.activeAttempts.push_back(attempt);
@@ -518,22 +329,11 @@
         actions.emplace_back(Dispatch::RefuseCall{.call = call.spec.id, .reason = RefusalReason::Draining, .retryAfter = 0_ms});
         return true;
     }
-    actions.emplace_back(
-        Dispatch::RefuseCall{.call = call.spec.id, .reason = RefusalReason::Overloaded, .retryAfter = retryAfter(call, now)});
+    actions.emplace_back(Dispatch::RefuseCall{
+        .call = call.spec.id, .reason = RefusalReason::Overloaded, .retryAfter = m_waitPolicy.retryAfter(call, m_calls, now, m_random)});
     return true;
 }
 
-Millis ServiceDispatcher::retryAfter(const OpenCall &call, Millis now)
-{
-    // The delay is spread over the time left to meet the objective or, if that is over, over the time left until the deadline.
-    const auto timeToObjective = call.spec.objective - now - m_latencyModel.typicalLatency();
-    const auto spreadRange = timeToObjective > 0_ms ? timeToObjective * 0.6 : (call.spec.deadline - now) * 0.33;
-    std::uniform_real_distribution<double> spread(0.4, 1.0);
-    const auto delay = std::max(5_ms, spreadRange * spread(m_random));
-    const auto roomAt = upstreamsLeaveRoomAt(call, now);
-    return roomAt && *roomAt > now ? std::max(delay, *roomAt - now) : delay;
-}
-
 void ServiceDispatcher::probeEnded(UpstreamId upstream, const ProbeResult &result, Millis now, Actions &actions)
 {
     if (upstream >= m_upstreams.size()) {
@@ -541,34 +341,10 @@
     }
     auto &entry = m_upstreams[upstream];
     entry.probing = false;
-    learnFromProbe(entry, result, now);
+    m_probeLearner.learn(entry, result, now);
     advanceSearches(now, actions);
 }
 
-void ServiceDispatcher::learnFromProbe(UpstreamEntry &entry, const ProbeResult &result, Millis now)
-{
-    if (!result.answered || result.wrongInstance) {
-        entry.view.startBackoff(now);
-        return;
-    }
-    if (result.load) {
-        entry.view.recordLoadReport(*result.load, now);
-        m_probesWithoutLoad = 0;
-        m_upstreamsReportLoad = true;
-    } else {
-        m_probesWithoutLoad = std::min(m_probesWithoutLoad + 1, probesToAssumeNoLoad);
-        m_upstreamsReportLoad = m_probesWithoutLoad < probesToAssumeNoLoad;
-        if (!result.refused) {
-            entry.view.recordServedProbe(now - entry.probeStartedAt, now);
-        }
-    }
-    if (result.healthy) {
-        entry.view.markHealthy();
-    } else {
-        entry.view.markUnhealthy(now);
-    }
-}
-
 void ServiceDispatcher::advanceSearches(Millis now, Actions &actions)
 {
     std::vector<OpenCall *> searching;
@@ -610,7 +386,7 @@
     if (outcome == AttemptOutcome::NotSent) {
         entry.view.startBackoff(now);
     }
-    if (succeeded && m_upstreamsReportLoad) {
+    if (succeeded && m_probeLearner.upstreamsReportLoad()) {
         m_latencyModel.learn(attempt->condition, entry.view.estimatedCalls() / entry.view.slots(), now - attempt->sentAt);
     } else if (succeeded) {
         m_latencyModel.learnWithoutLoad(now - attempt->sentAt);
@@ -624,23 +400,6 @@
     }
 }
 
-HealthSignal ServiceDispatcher::healthSignalOf(const Attempt &attempt, AttemptOutcome outcome)
-{
-    switch (outcome) {
-    case AttemptOutcome::Answered:
-        return HealthSignal::Success;
-    case AttemptOutcome::Failed:
-    case AttemptOutcome::Incomplete:
-    case AttemptOutcome::TimedOut:
-        return HealthSignal::Failure;
-    case AttemptOutcome::Shed:
-        // A full upstream may refuse calls; one that reported a free slot and still refuses is failing.
-        return attempt.reportedFreeSlot ? HealthSignal::Failure : HealthSignal::None;
-    default:
-        return HealthSignal::None;
-    }
-}
-
 bool ServiceDispatcher::endAttempt(OpenCall &call, AttemptNumber number, AttemptOutcome outcome, Millis now, Actions &actions)
 {
     if (outcome == AttemptOutcome::Answered) {
@@ -729,7 +488,7 @@
             }
         } else if (it.search == Search::None && now >= it.hedgeAt) {
             it.hedgeAt = it.spec.deadline;
-            if (it.attemptsRun < it.spec.maxAttempts && m_pressure <= highPressure && m_budget.allows(now, m_options.hedgeReserve)) {
+            if (it.attemptsRun < it.spec.maxAttempts && !m_pressure.isHigh() && m_budget.allows(now, m_options.hedgeReserve)) {
                 startSearch(it, Search::Hedge, now, actions);
             }
         }
@@ -740,25 +499,11 @@
     advanceSearches(now, actions);
 }
 
-Millis ServiceDispatcher::nextDueOf(const OpenCall &call) const
-{
-    const auto finalDue = call.activeAttempts.empty() ? call.spec.deadline : call.spec.deadline + answerGrace;
-    switch (call.search) {
-    case Search::None:
-        return call.hedgeAt < call.spec.deadline ? call.hedgeAt : finalDue;
-    case Search::First:
-    case Search::Retry:
-    case Search::Hedge:
-        return std::min(finalDue, call.nextStepAt);
-    }
-    return finalDue;
-}
-
 std::optional<Millis> ServiceDispatcher::nextDue() const
 {
     std::optional<Millis> due;
     for (const auto &[id, it] : m_calls) {
-        const auto at = nextDueOf(it);
+        const auto at = it.nextDue();
         due = due ? std::min(*due, at) : at;
     }
     return due;
--- a/src/core/placement/servicedispatcher.h
+++ b/src/core/placement/servicedispatcher.h
@@ -6,13 +6,17 @@
 #include "core/placement/drainwindow.h"
 #include "core/placement/latencymodel.h"
 #include "core/placement/loadreport.h"
+#include "core/placement/opencall.h"
 #include "core/placement/placementoptions.h"
+#include "core/placement/pressure.h"
+#include "core/placement/probelearner.h"
+#include "core/placement/upstreamchooser.h"
 #include "core/placement/upstreamset.h"
+#include "core/placement/waitpolicy.h"
 #include "core/retry/sharedretrybudget.h"
 #include "core/retry/tokenbucket.h"
 
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <random>
 #include <span>
@@ -24,28 +28,6 @@
 {
 
 using Dispatch::Actions;
-using Dispatch::AttemptNumber;
-using Dispatch::AttemptOutcome;
-using Dispatch::CallId;
-
-/// Properties of a call that the dispatcher needs.
-struct CallSpec
-{
-    CallId id = 0;
-    bool idempotent = false;
-    /// The body is large, so sending it to another failure domain is expensive.
-    bool bulk = false;
-    /// Priority; 0 is the most urgent.
-    int rank = 0;
-    /// Limit of attempts, including retries and hedges; attempts that were not sent do not count.
-    int maxAttempts = 1;
-    /// Time by which the answer should arrive.
-    Millis objective;
-    /// Time after which nobody waits for the answer.
-    Millis deadline;
-    /// The caller was refused before and will not try again after another refusal.
-    bool returning = false;
-};
 
 /// Counters since the start; they only increase.
 struct PlacementCounters
@@ -181,7 +163,7 @@
     /// Recent share of searches that found no suitable upstream, 0 to 1.
     double pressure() const
     {
-        return m_pressure;
+        return m_pressure.value();
     }
     /// Retries and hedges that the budget still allows; fractional, and negative if it is overdrawn.
     double retriesLeft(Millis now) const
@@ -190,86 +172,18 @@
     }
 
 private:
-    struct Attempt
-    {
-        AttemptNumber number = 0;
-        UpstreamId upstream = 0;
-        Millis sentAt;
-        UpstreamCondition condition;
-        /// The upstream's last load report showed a free slot when the attempt was sent.
-        bool reportedFreeSlot = false;
-    };
-
-    /// Purpose of the current search for an upstream; None while there is no search.
-    enum class Search : std::uint8_t {
-        None,
-        First,
-        Retry,
-        Hedge,
-    };
-
-    /// State of a call that is not over.
-    struct OpenCall
-    {
-        CallSpec spec;
-        Millis arrived;
-        Search search = Search::First;
-        int probeRounds = 0;
-        Millis probeRoundDeadline;
-        /// When the search continues even without a probe result.
-        Millis nextStepAt;
-        /// Upstreams selected for probing in this search, including those whose load report was fresh enough.
-        std::vector<UpstreamId> probed;
-        /// Upstreams that attempts were sent to; they are not chosen again.
-        std::vector<UpstreamId> triedUpstreams;
-        std::vector<Attempt> activeAttempts;
-        AttemptNumber nextAttempt = 0;
-        /// Attempts, without those that turned out not to have been sent.
-        int attemptsRun = 0;
-        /// Attempt that an upstream answered with a failure; relayed if no other attempt succeeds.
-        std::optional<AttemptNumber> failedAttempt;
-        /// When to consider a hedge; the deadline if there will be none.
-        Millis hedgeAt;
-        bool mayHaveRun = false;
-        /// The pressure has been updated for the current probe round.
-        bool pressureUpdated = false;
-        /// The random decision about a contention trial has been made.
-        bool trialDecided = false;
-        /// At least one probe of this search was skipped for lack of probe tokens.
-        bool lackedProbeTokens = false;
-    };
-
-    struct Choice
-    {
-        UpstreamId upstream = 0;
-        Millis expectedLatency;
-    };
-
-    void learnFromProbe(UpstreamEntry &entry, const ProbeResult &result, Millis now);
     void startSearch(OpenCall &call, Search search, Millis now, Actions &actions);
     /// Number of upstreams that are probed first, because connections to them can be kept; see UpstreamEntry::affinityRank.
     std::size_t familiarCount(Millis now) const;
-    /// Returns up to `count` upstreams that the call probes next.
-    std::vector<UpstreamId> selectForProbing(const OpenCall &call, std::size_t count, Millis now);
     void startProbeRound(OpenCall &call, std::size_t count, Millis now, Actions &actions);
     /// Starts a round for a waiting call; sends probes only if none were sent recently for another waiting call.
     void probeForWaitingCalls(OpenCall &call, Millis now, Actions &actions);
     bool probeRoundEnded(const OpenCall &call, Millis now) const;
     /// Sends the call, starts another probe round, keeps waiting or gives up. Returns whether the call is over.
     bool advanceSearch(OpenCall &call, Millis now, Actions &actions);
-    /// The upstream of lowest cost among the eligible and untried ones with a recent load report, suitable or not; nothing if there
-    /// is none.
-    std::optional<Choice> bestChoice(const OpenCall &call, Millis now) const;
-    /// Whether the upstream is a good choice, so that the search can end.
-    bool isSuitable(const OpenCall &call, const Choice &choice, Millis now) const;
-    /// Whether the upstream can be used although it is not suitable; only after all probe rounds.
-    bool isAcceptable(const OpenCall &call, const Choice &choice, Millis now) const;
     /// For a few of the calls that would wait, an upstream with a free slot that is rejected because of the expected contention:
     /// only answers from there show how large the contention really is.
     std::optional<Choice> contentionTrial(OpenCall &call, Millis now);
-    /// Of the upstreams selected for probing, the one with the fewest calls of this daemon; used if probe tokens ran out.
-    std::optional<Choice> fallbackChoice(const OpenCall &call, Millis now) const;
-    bool wouldMissObjective(const OpenCall &call, Millis now) const;
     /// Whether the daemon is being stopped too soon for another attempt of the call.
     bool endsTooSoonFor(const CallSpec &spec, Millis now) const;
     /// Whether sending the call, which would be late anyway, would take a slot from a call that can still be in time.
@@ -281,43 +195,31 @@
     /// Ends the call with the best known result. Always returns true: the call is over.
     bool giveUp(OpenCall &call, Millis now, Actions &actions);
     bool mayRetry(const OpenCall &call, AttemptOutcome outcome, Millis now) const;
-    static HealthSignal healthSignalOf(const Attempt &attempt, AttemptOutcome outcome);
     /// Returns whether the call is over.
     bool endAttempt(OpenCall &call, AttemptNumber attempt, AttemptOutcome outcome, Millis now, Actions &actions);
     void finish(OpenCall &call, AttemptNumber attempt, Dispatch::Disposition disposition, Actions &actions);
     void cancelOthers(OpenCall &call, std::optional<AttemptNumber> except, Millis now, Actions &actions);
     /// Handles a call past its deadline. Returns whether the call is over.
     bool expire(OpenCall &call, Millis now, Actions &actions);
-    /// Latest time to keep waiting for an upstream; then the search ends without a suitable upstream.
-    Millis waitLimit(const OpenCall &call) const;
-    /// Random delay that a refused caller is told to wait.
-    Millis retryAfter(const OpenCall &call, Millis now);
     Millis hedgeTime(const OpenCall &call, Millis now) const;
-    Millis nextDueOf(const OpenCall &call) const;
     void advanceSearches(Millis now, Actions &actions);
-    bool isEligible(const UpstreamEntry &entry, Millis now) const;
-    bool isPreferred(const UpstreamEntry &entry, Millis now) const;
-    /// When pauses and limits of the upstreams leave room for the call after those that go before it; empty if never.
-    std::optional<Millis> upstreamsLeaveRoomAt(const OpenCall &call, Millis now) const;
-
     PlacementOptions m_options;
     /// Set while the daemon is being stopped.
     std::optional<DrainWindow> m_drainWindow;
     std::mt19937_64 m_random;
     UpstreamSet m_upstreams;
-    std::map<CallId, OpenCall> m_calls;
+    OpenCalls m_calls;
     Retry::SharedRetryBudget m_budget;
     Retry::TokenBucket &m_probeTokens;
     LatencyModel m_latencyModel;
     /// When the first call was submitted; empty before.
     std::optional<Millis> m_firstCallAt;
-    /// Moving average of the share of searches that found no suitable upstream.
-    double m_pressure = 0;
+    Pressure m_pressure;
+    UpstreamChooser m_chooser;
+    WaitPolicy m_waitPolicy;
     /// Last time that probes were started for waiting calls.
     Millis m_waitingProbedAt{-1e9};
-    /// Consecutive probe answers without load; bounded.
-    int m_probesWithoutLoad = 0;
-    bool m_upstreamsReportLoad = true;
+    ProbeLearner m_probeLearner;
     PlacementCounters m_counters;
 };
 
