Limit the calls of cold upstreams to the rate that their service states

An upstream can turn cold at any time, and all daemons together may then send it at most about cold-per-s calls a second. So far the daemons took a warm-up only for slowness. Now the rate is divided among a few daemons as named limits are, a recent probe has to prove that an upstream is warm before it gets other calls, and probes state the remaining time. Services without the rate are served as before.

--- a/src/core/limits/upstreamlimit.cpp
+++ b/src/core/limits/upstreamlimit.cpp
@@ -1,7 +1,5 @@
 #include "core/limits/upstreamlimit.h"
 
-#include <algorithm>
-
 namespace Laburnummast::Limits
 {
 namespace
@@ -10,8 +8,6 @@
 // A limit that no answer confirms for this long has lapsed. Much longer than the reports of other daemons need, or daemons that no
 // longer call the upstream would forget a limit that is still in force.
 constexpr Millis unconfirmedLifetime = 30_s;
-// Calls that a daemon did not send when its share allowed them and may still send later.
-constexpr double maxUnusedCalls = 1;
 
 }
 
@@ -30,21 +26,9 @@
     return after ? LimitChange::Set : LimitChange::Ended;
 }
 
-void UpstreamLimit::assignShare(double perSecond, Millis now)
-{
-    if (m_share <= 0 && perSecond > 0) {
-        // The daemon that had this share may just have used it.
-        m_nextCallAt = now + 1_s * (1 / perSecond);
-    }
-    m_share = perSecond;
-}
-
 std::optional<Millis> UpstreamLimit::nextCallAt(Millis now) const
 {
-    if (!perSecond(now)) {
-        return now;
-    }
-    return m_share > 0 ? std::optional(std::max(now, m_nextCallAt)) : std::nullopt;
+    return perSecond(now) ? m_share.nextCallAt(now) : now;
 }
 
 bool UpstreamLimit::allowsCall(Millis now) const
@@ -53,14 +37,6 @@
     return at && *at <= now;
 }
 
-void UpstreamLimit::recordCall(Millis now)
-{
-    if (m_share > 0) {
-        const auto interval = 1_s * (1 / m_share);
-        m_nextCallAt = std::max(m_nextCallAt, now - interval * maxUnusedCalls) + interval;
-    }
-}
-
 std::optional<double> UpstreamLimit::perSecond(Millis now) const
 {
     return m_latest && now - m_latest->at <= unconfirmedLifetime ? m_latest->perSecond : std::nullopt;
--- a/src/core/limits/upstreamlimit.h
+++ b/src/core/limits/upstreamlimit.h
@@ -1,6 +1,7 @@
 #ifndef LABURNUMMAST_CORE_LIMITS_UPSTREAMLIMIT_H
 #define LABURNUMMAST_CORE_LIMITS_UPSTREAMLIMIT_H
 
+#include "core/limits/pacedshare.h"
 #include "core/millis.h"
 
 #include <cstdint>
@@ -37,23 +38,29 @@
     /// Calls per second from all daemons together; empty if no limit is in force.
     std::optional<double> perSecond(Millis now) const;
     /// Sets the calls per second that this daemon may send while a limit is in force; see limitShare().
-    void assignShare(double perSecond, Millis now);
+    void assignShare(double perSecond, Millis now)
+    {
+        m_share.assign(perSecond, now);
+    }
     /// Whether this daemon may send some calls, now or later.
     bool hasShare(Millis now) const
     {
-        return !perSecond(now) || m_share > 0;
+        return !perSecond(now) || share() > 0;
     }
     /// Calls per second that this daemon may send while a limit is in force.
     double share() const
     {
-        return m_share;
+        return m_share.perSecond();
     }
     /// When this daemon may send the next call; empty if only other daemons may.
     std::optional<Millis> nextCallAt(Millis now) const;
     /// Whether this daemon may send a call now.
     bool allowsCall(Millis now) const;
     /// Counts a call that this daemon sent.
-    void recordCall(Millis now);
+    void recordCall(Millis now)
+    {
+        m_share.recordCall(now);
+    }
     /// The latest observation that was applied; empty before the first limit.
     const std::optional<LimitObservation> &latest() const
     {
@@ -62,9 +69,8 @@
 
 private:
     std::optional<LimitObservation> m_latest;
-    /// Calls per second.
-    double m_share = 0;
-    Millis m_nextCallAt{};
+    /// A call that was not sent when the share allowed it may still be sent later.
+    PacedShare m_share{1};
 };
 
 }
--- a/src/core/placement/loadreport.h
+++ b/src/core/placement/loadreport.h
@@ -34,6 +34,8 @@
     bool refused = false;
     /// Empty if the answer carries no load.
     std::optional<LoadReport> load;
+    /// Remaining warm-up time; empty if the answer states none.
+    std::optional<Millis> coldRemaining;
 };
 
 }
--- a/src/core/placement/placementoptions.h
+++ b/src/core/placement/placementoptions.h
@@ -1,6 +1,7 @@
 #ifndef LABURNUMMAST_CORE_PLACEMENT_PLACEMENTOPTIONS_H
 #define LABURNUMMAST_CORE_PLACEMENT_PLACEMENTOPTIONS_H
 
+#include "core/limits/coldlimit.h"
 #include "core/limits/limitshare.h"
 #include "core/millis.h"
 #include "core/retry/sharedretrybudget.h"
@@ -26,6 +27,8 @@
     std::size_t daemonIndex = 0;
     /// Daemons that divide the limits of upstreams among themselves; null if unknown, then this daemon has no share.
     std::shared_ptr<const Limits::LimitPool> limitPool;
+    /// Bound on the calls of cold upstreams whose service states a rate for them.
+    Limits::ColdBound coldBound;
     /// Upstreams probed in the first round of a search.
     std::size_t firstRoundProbes = 4;
     /// Replaces `firstRoundProbes` while pressure is low or few probe tokens are left.
--- a/src/core/placement/probelearner.cpp
+++ b/src/core/placement/probelearner.cpp
@@ -18,6 +18,7 @@
         entry.view.startBackoff(now);
         return;
     }
+    entry.cold.observeProbe(result.coldRemaining, entry.probeStartedAt, now);
     if (result.load) {
         entry.view.recordLoadReport(*result.load, now);
         m_probesWithoutLoad = 0;
--- a/src/core/placement/servicedispatcher.cpp
+++ b/src/core/placement/servicedispatcher.cpp
@@ -39,7 +39,7 @@
     m_options = options;
     m_budget.configure(options.retries);
     m_upstreams.assignPreferred(options.daemonDomains, options.daemonIndex);
-    m_upstreams.assignLimitPool(options.limitPool, now);
+    m_upstreams.assignLimitPool(options.limitPool, options.coldBound, now);
 }
 
 void ServiceDispatcher::setUpstreams(std::span<const UpstreamSpec> specs)
@@ -151,22 +151,28 @@
     call.probeRoundDeadline = now + m_options.probeRoundTimeout;
     call.nextStepAt = call.probeRoundDeadline;
     for (const auto id : m_chooser.selectForProbing(call, count, familiarCount(now), now, m_random)) {
-        auto &entry = m_upstreams[id];
+        const auto &entry = m_upstreams[id];
         call.probed.push_back(id);
-        if (entry.probing || entry.view.hasFreshReport(now, m_options.maxReportAge)) {
-            continue;
-        }
-        if (!m_probeTokens.take(1, now)) {
+        const bool isKnown = entry.view.hasFreshReport(now, m_options.maxReportAge) && entry.cold.isKnown(now);
+        if (!entry.probing && !isKnown && !startProbe(id, now, actions)) {
             call.lackedProbeTokens = true;
-            continue;
         }
-        entry.probing = true;
-        entry.probeStartedAt = now;
-        ++m_counters.probes;
-        actions.emplace_back(Dispatch::ProbeUpstream{.upstream = id});
     }
 }
 
+bool ServiceDispatcher::startProbe(UpstreamId id, Millis now, Actions &actions)
+{
+    if (!m_probeTokens.take(1, now)) {
+        return false;
+    }
+    auto &entry = m_upstreams[id];
+    entry.probing = true;
+    entry.probeStartedAt = now;
+    ++m_counters.probes;
+    actions.emplace_back(Dispatch::ProbeUpstream{.upstream = id});
+    return true;
+}
+
 bool ServiceDispatcher::probeRoundEnded(const OpenCall &call, Millis now) const
 {
     return now >= call.probeRoundDeadline
@@ -296,6 +302,7 @@
                           .reportedFreeSlot = m_probeLearner.upstreamsReportLoad() && view.report() && view.hasFreeSlot()};
     view.recordAttemptSent();
     m_upstreams[choice.upstream].limit.recordCall(now);
+    m_upstreams[choice.upstream].cold.recordCall(now);
     call.activeAttempts.push_back(attempt);
     call.triedUpstreams.push_back(choice.upstream);
     ++call.attemptsRun;
@@ -376,7 +383,8 @@
     }
     const auto signal = healthSignalOf(*attempt, outcome);
     const bool succeeded = signal == HealthSignal::Success;
-    auto &entry = m_upstreams[attempt->upstream];
+    const auto upstream = attempt->upstream;
+    auto &entry = m_upstreams[upstream];
     entry.view.recordAttemptEnded(signal, now);
     entry.successes += succeeded ? 1 : 0;
     entry.failures += signal == HealthSignal::Failure ? 1 : 0;
@@ -396,6 +404,10 @@
         m_calls.erase(id);
     }
     if (load) {
+        // A free slot is of use to waiting calls only once a probe shows whether the upstream is cold.
+        if (!entry.cold.isKnown(now) && !entry.probing && waitingCalls() > 0) {
+            startProbe(upstream, now, actions);
+        }
         advanceSearches(now, actions);
     }
 }
--- a/src/core/placement/servicedispatcher.h
+++ b/src/core/placement/servicedispatcher.h
@@ -109,6 +109,11 @@
         const auto id = m_upstreams.idOf(upstream);
         return id ? m_upstreams[*id].limit.share() : 0;
     }
+    /// Number of listed upstreams that are known to be cold and have a limit.
+    std::size_t coldUpstreams(Millis now) const
+    {
+        return m_upstreams.coldCount(now);
+    }
     /// Number of listed upstreams with a limit in force.
     std::size_t limitedUpstreams(Millis now) const
     {
@@ -175,6 +180,8 @@
     void startSearch(OpenCall &call, Search search, Millis now, Actions &actions);
     /// Number of upstreams that are probed first, because connections to them can be kept; see UpstreamEntry::affinityRank.
     std::size_t familiarCount(Millis now) const;
+    /// Sends a probe; returns false if probe tokens ran out.
+    bool startProbe(UpstreamId id, Millis now, Actions &actions);
     void startProbeRound(OpenCall &call, std::size_t count, Millis now, Actions &actions);
     /// Starts a round for a waiting call; sends probes only if none were sent recently for another waiting call.
     void probeForWaitingCalls(OpenCall &call, Millis now, Actions &actions);
--- a/src/core/placement/upstreamchooser.cpp
+++ b/src/core/placement/upstreamchooser.cpp
@@ -20,6 +20,8 @@
 constexpr Millis crossDomainBulkCost = 40_ms;
 // An upstream that this daemon does not prefer counts as slower by this factor: calls of other daemons reach it unseen.
 constexpr double nonPreferredCostFactor = 1.5;
+// Lets a cold upstream that has been without calls go before those that are usually better.
+constexpr double neglectedCostFactor = 0.5;
 // Load reports up to this age are used if probe tokens ran out.
 constexpr Millis maxStaleReportAge = 100_ms;
 // An upstream gets at most as many calls as it has slots, plus this many queued ones: it resets connections once its queue is full.
@@ -40,13 +42,18 @@
 
 bool UpstreamChooser::isEligible(const UpstreamEntry &entry, Millis now) const
 {
-    return entry.listed && !entry.view.inBackoff(now) && entry.availability.accepts(now) && entry.limit.allowsCall(now);
+    return entry.listed && !entry.view.inBackoff(now) && entry.availability.accepts(now) && entry.allowsCall(now);
+}
+
+bool UpstreamChooser::mayBeSent(const UpstreamEntry &entry, Millis now) const
+{
+    return isEligible(entry, now) && entry.cold.allowsSending(now);
 }
 
 bool UpstreamChooser::isPreferred(const UpstreamEntry &entry, Millis now) const
 {
     // Few daemons call an upstream with a limit, so that nearly all calls running there are theirs.
-    return entry.limit.perSecond(now) ? entry.limit.hasShare(now) : entry.preferred;
+    return entry.isLimited(now) ? entry.share(now) > 0 : entry.preferred;
 }
 
 std::vector<UpstreamId> UpstreamChooser::selectForProbing(
@@ -70,6 +77,7 @@
     std::stable_partition(order.begin(), order.end(), [&](UpstreamId id) {
         return m_upstreams[id].view.spec().domain == m_options.domain && localFound++ < localWanted;
     });
+    std::stable_partition(order.begin(), order.end(), [&](UpstreamId id) { return m_upstreams[id].cold.isNeglected(now); });
     order.resize(std::min(order.size(), count));
     return order;
 }
@@ -82,7 +90,7 @@
         const auto &entry = m_upstreams[id];
         const auto &view = entry.view;
         const auto maxReportAge = call.lackedProbeTokens ? maxStaleReportAge : m_options.maxReportAge;
-        if (!isEligible(entry, now) || !view.hasFreshReport(now, maxReportAge)
+        if (!mayBeSent(entry, now) || !view.hasFreshReport(now, maxReportAge)
             || std::find(call.triedUpstreams.begin(), call.triedUpstreams.end(), id) != call.triedUpstreams.end()) {
             continue;
         }
@@ -93,7 +101,9 @@
         const bool crossDomain = view.spec().domain != m_options.domain;
         const auto distanceCost = !crossDomain || !m_pressure.isLow() ? 0_ms : call.spec.bulk ? crossDomainBulkCost : crossDomainCost;
         const double failureRate = view.failureRate(now);
-        const double preferenceFactor = isPreferred(entry, now) ? 1 : nonPreferredCostFactor;
+        const double preferenceFactor = entry.cold.isNeglected(now) ? neglectedCostFactor
+            : isPreferred(entry, now)                               ? 1
+                                                                    : nonPreferredCostFactor;
         const double cost
             = preferenceFactor * expectedLatency.count * (1 + failureCostFactor * failureRate + costPerCall * view.estimatedCalls())
             + distanceCost.count;
@@ -128,7 +138,15 @@
     for (const auto id : call.probed) {
         const auto &view = m_upstreams[id].view;
         const bool hasRoom = view.inFlight() < view.slots();
-        if (isEligible(m_upstreams[id], now) && hasRoom && (!choice || view.inFlight() < m_upstreams[choice->upstream].view.inFlight())) {
+        if (mayBeSent(m_upstreams[id], now) && hasRoom && (!choice || view.inFlight() < m_upstreams[choice->upstream].view.inFlight())) {
+            choice = Choice{.upstream = id, .expectedLatency = m_latencyModel.typicalLatency()};
+        }
+    }
+    // Few of the probed upstreams that may turn cold allow this daemon a call without a probe, so others that do are considered, too.
+    for (UpstreamId id = 0; !choice && id < m_upstreams.size(); ++id) {
+        const auto &entry = m_upstreams[id];
+        const bool tried = std::find(call.triedUpstreams.begin(), call.triedUpstreams.end(), id) != call.triedUpstreams.end();
+        if (entry.cold.isLimited() && !tried && mayBeSent(entry, now) && entry.view.inFlight() < entry.view.slots()) {
             choice = Choice{.upstream = id, .expectedLatency = m_latencyModel.typicalLatency()};
         }
     }
@@ -139,7 +157,7 @@
 {
     for (UpstreamId id = 0; id < m_upstreams.size(); ++id) {
         const auto &view = m_upstreams[id].view;
-        if (isEligible(m_upstreams[id], now) && view.hasFreshReport(now, m_options.maxReportAge) && view.hasFreeSlot()
+        if (mayBeSent(m_upstreams[id], now) && view.hasFreshReport(now, m_options.maxReportAge) && view.hasFreeSlot()
             && view.slowness(now) <= maxSuitableSlowness && view.failureRate(now) <= maxSuitableFailureRate) {
             return Choice{.upstream = id, .expectedLatency = m_latencyModel.expectedLatency(view.conditionForNextCall(now))};
         }
--- a/src/core/placement/upstreamchooser.h
+++ b/src/core/placement/upstreamchooser.h
@@ -33,7 +33,10 @@
                     const Pressure &pressure,
                     const PlacementOptions &options);
 
+    /// Whether the upstream may be probed for a call.
     bool isEligible(const UpstreamEntry &entry, Millis now) const;
+    /// Whether a call may be sent to it with what is known.
+    bool mayBeSent(const UpstreamEntry &entry, Millis now) const;
     bool isPreferred(const UpstreamEntry &entry, Millis now) const;
     /// Returns up to `count` upstreams that the call probes next. Those ranked below `familiarCount` go first.
     std::vector<UpstreamId>
@@ -48,6 +51,7 @@
     /// An upstream with a free slot that is rejected because of the expected contention; see ServiceDispatcher::contentionTrial().
     std::optional<Choice> trialChoice(Millis now) const;
     /// Of the upstreams selected for probing, the one with the fewest calls of this daemon; used if probe tokens ran out.
+    /// Of upstreams that may turn cold, only one of which this daemon may call on as if it were cold.
     std::optional<Choice> fallbackChoice(const OpenCall &call, Millis now) const;
 
 private:
--- a/src/core/placement/upstreamset.cpp
+++ b/src/core/placement/upstreamset.cpp
@@ -20,6 +20,21 @@
 
 }
 
+double UpstreamEntry::share(Millis now) const
+{
+    if (limit.perSecond(now) && cold.isCold(now)) {
+        return std::min(limit.share(), cold.share());
+    }
+    return cold.isCold(now) ? cold.share() : limit.share();
+}
+
+std::optional<Millis> UpstreamEntry::nextCallAt(Millis now) const
+{
+    const auto limitAllowsAt = limit.nextCallAt(now);
+    const auto coldAllowsAt = cold.nextCallAt(now);
+    return limitAllowsAt && coldAllowsAt ? std::optional(std::max(*limitAllowsAt, *coldAllowsAt)) : std::nullopt;
+}
+
 void UpstreamSet::update(std::span<const UpstreamSpec> specs)
 {
     for (auto &it : m_entries) {
@@ -33,11 +48,14 @@
             auto &entry = m_entries[found->second];
             if (entry.view.spec().startedAt != spec.startedAt) {
                 entry.limit = {};
+                entry.cold = {};
                 entry.limitReportsDue = 0;
                 entry.availability = {};
             }
             entry.view.update(spec);
             entry.listed = true;
+            entry.cold.configure(spec.coldCallsPerSecond, spec.warmUpEnd);
+            assignColdShare(entry, {});
         }
     }
     m_listedCount = specs.size();
@@ -55,6 +73,8 @@
         m_entries[id] = {.view = UpstreamView(spec)};
     }
     m_entries[id].availability = takeRemembered(spec);
+    m_entries[id].cold.configure(spec.coldCallsPerSecond, spec.warmUpEnd);
+    assignColdShare(m_entries[id], {});
     m_ids.emplace(spec.id, id);
 }
 
@@ -125,26 +145,37 @@
     return it == m_ids.end() ? std::nullopt : std::optional(it->second);
 }
 
-void UpstreamSet::assignLimitPool(const std::shared_ptr<const Limits::LimitPool> &pool, Millis now)
+void UpstreamSet::assignLimitPool(const std::shared_ptr<const Limits::LimitPool> &pool, const Limits::ColdBound &coldBound, Millis now)
 {
-    const bool unchanged = m_limitPool == pool || (m_limitPool && pool && *m_limitPool == *pool);
+    const bool samePool = m_limitPool == pool || (m_limitPool && pool && *m_limitPool == *pool);
+    const bool unchanged = samePool && m_coldBound == coldBound;
     m_limitPool = pool;
+    m_coldBound = coldBound;
     if (unchanged) {
         return;
     }
     for (auto &it : m_entries) {
         assignLimitShare(it, now);
+        assignColdShare(it, now);
     }
 }
 
 void UpstreamSet::assignLimitShare(UpstreamEntry &entry, Millis now) const
 {
-    double share = 0;
-    if (const auto perSecond = entry.limit.perSecond(now); perSecond && m_limitPool) {
-        const auto &spec = entry.view.spec();
-        share = Limits::limitShare({.id = spec.id, .domain = spec.domain, .perSecond = *perSecond}, *m_limitPool);
-    }
-    entry.limit.assignShare(share, now);
+    entry.limit.assignShare(shareOf(entry, entry.limit.perSecond(now).value_or(0)), now);
+}
+
+void UpstreamSet::assignColdShare(UpstreamEntry &entry, Millis now) const
+{
+    // Assigned before the upstream turns cold, as it may do so at any time.
+    entry.cold.assignShare(shareOf(entry, Limits::dividedColdRate(entry.cold.perSecond(), m_coldBound)), now);
+}
+
+double UpstreamSet::shareOf(const UpstreamEntry &entry, double perSecond) const
+{
+    const auto &spec = entry.view.spec();
+    return m_limitPool && perSecond > 0 ? Limits::limitShare({.id = spec.id, .domain = spec.domain, .perSecond = perSecond}, *m_limitPool)
+                                        : 0;
 }
 
 Limits::LimitChange UpstreamSet::observeLimit(UpstreamId id, const Limits::LimitObservation &observation, bool isOwn, Millis now)
@@ -190,6 +221,12 @@
     return limits;
 }
 
+std::size_t UpstreamSet::coldCount(Millis now) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_entries.begin(), m_entries.end(), [&](const UpstreamEntry &it) { return it.listed && it.cold.isCold(now); }));
+}
+
 std::size_t UpstreamSet::limitedCount(Millis now) const
 {
     return static_cast<std::size_t>(
--- a/src/core/placement/upstreamset.h
+++ b/src/core/placement/upstreamset.h
@@ -2,6 +2,7 @@
 #define LABURNUMMAST_CORE_PLACEMENT_UPSTREAMSET_H
 
 #include "core/dispatch/call.h"
+#include "core/limits/coldlimit.h"
 #include "core/limits/limitshare.h"
 #include "core/limits/upstreamlimit.h"
 #include "core/placement/upstreamavailability.h"
@@ -45,6 +46,7 @@
     UpstreamView view;
     UpstreamAvailability availability;
     Limits::UpstreamLimit limit;
+    Limits::ColdLimit cold;
     /// Reports to other daemons that the limit is still to be part of, and whether it began or ended since the last one.
     int limitReportsDue = 0;
     bool limitChanged = false;
@@ -63,6 +65,21 @@
     /// Outcomes that this daemon observed since the last takeOutcomes().
     std::uint32_t successes = 0;
     std::uint32_t failures = 0;
+
+    /// A limit is in force: one that the upstream named, or that of a cold upstream.
+    bool isLimited(Millis now) const
+    {
+        return limit.perSecond(now) || cold.isCold(now);
+    }
+    /// Calls per second that this daemon may send while a limit is in force.
+    double share(Millis now) const;
+    /// When the limits allow this daemon the next call; empty if they allow only other daemons any.
+    std::optional<Millis> nextCallAt(Millis now) const;
+    bool allowsCall(Millis now) const
+    {
+        const auto at = nextCallAt(now);
+        return at && *at <= now;
+    }
 };
 
 /// The upstreams of a service, indexed by small ids that stay valid while calls or probes are in flight to the upstream.
@@ -98,7 +115,7 @@
         return m_listedCount;
     }
     /// Sets the daemons that divide the limits among themselves.
-    void assignLimitPool(const std::shared_ptr<const Limits::LimitPool> &pool, Millis now);
+    void assignLimitPool(const std::shared_ptr<const Limits::LimitPool> &pool, const Limits::ColdBound &coldBound, Millis now);
     /// Applies what an answer to this daemon said about a limit (`isOwn`) or what another daemon reported.
     Limits::LimitChange observeLimit(UpstreamId id, const Limits::LimitObservation &observation, bool isOwn, Millis now);
     /// Returns the limits to report to other daemons: those that began or ended, and those that answers to this daemon confirmed.
@@ -108,6 +125,8 @@
     AvailabilityChange observeAvailability(UpstreamId id, std::int64_t startedAt, const AvailabilityNotice &notice, Millis now);
     /// Number of upstreams in the current list that accept no calls from this daemon, because they are leaving or paused.
     std::size_t unavailableCount(Millis now) const;
+    /// Number of upstreams in the current list that are known to be cold and have a limit.
+    std::size_t coldCount(Millis now) const;
     /// Number of upstreams in the current list with a limit in force.
     std::size_t limitedCount(Millis now) const;
     /// Returns nothing if the name is unknown.
@@ -131,6 +150,8 @@
     /// Returns and forgets what an upstream that was listed before said since that start.
     UpstreamAvailability takeRemembered(const UpstreamSpec &spec);
     void assignLimitShare(UpstreamEntry &entry, Millis now) const;
+    void assignColdShare(UpstreamEntry &entry, Millis now) const;
+    double shareOf(const UpstreamEntry &entry, double perSecond) const;
     /// Frees the ids of unlisted upstreams that have nothing in flight.
     void releaseUnlisted();
 
@@ -141,6 +162,7 @@
     /// Oldest first.
     std::deque<RememberedAvailability> m_remembered;
     std::shared_ptr<const Limits::LimitPool> m_limitPool;
+    Limits::ColdBound m_coldBound;
 };
 
 }
--- a/src/core/placement/upstreamview.h
+++ b/src/core/placement/upstreamview.h
@@ -22,6 +22,8 @@
     Millis warmUpEnd;
     /// Start time of the upstream; a changed value means a restart. Only compared for equality here.
     std::int64_t startedAt = 0;
+    /// Calls per second from all daemons together that the upstream tolerates while it is cold; 0 if there is no limit.
+    double coldCallsPerSecond = 0;
 };
 
 /// What the end of an attempt says about the health of its upstream.
--- a/src/core/placement/waitpolicy.cpp
+++ b/src/core/placement/waitpolicy.cpp
@@ -44,14 +44,14 @@
     for (UpstreamId id = 0; id < m_upstreams.size(); ++id) {
         const auto &entry = m_upstreams[id];
         const auto acceptsAt = entry.availability.acceptsAt(now);
-        const auto limitAllowsAt = entry.limit.nextCallAt(now);
+        const auto limitAllowsAt = entry.nextCallAt(now);
         if (!entry.listed || !acceptsAt || !limitAllowsAt) {
             continue;
         }
         const auto at = std::max(*acceptsAt, *limitAllowsAt);
-        auto &earliest = entry.limit.perSecond(now) ? limitedAt : unlimitedAt;
+        auto &earliest = entry.isLimited(now) ? limitedAt : unlimitedAt;
         earliest = earliest ? std::min(*earliest, at) : at;
-        sharesPerSecond += entry.limit.perSecond(now) ? entry.limit.share() : 0;
+        sharesPerSecond += entry.isLimited(now) ? entry.share(now) : 0;
     }
     if (unlimitedAt && *unlimitedAt <= now) {
         return now;
--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -1,6 +1,7 @@
 #include "entry/traffic.h"
 
 #include "core/text.h"
+#include "entry/upstreamspecs.h"
 #include "platform/directory.h"
 #include "platform/requests.h"
 #include "process/wallclock.h"
@@ -217,14 +218,9 @@
 void Traffic::applyRoutesAndUpstreams()
 {
     UpstreamConnections::Addresses addresses;
-    std::map<std::string, std::vector<Placement::UpstreamSpec>, std::less<>> byService;
+    auto byService = upstreamSpecs(*m_view);
     for (const auto &it : *m_view->upstreams) {
         addresses[it.record.id] = it.record.address;
-        byService[it.record.service].push_back({.id = it.record.id,
-                                                .domain = it.record.domain,
-                                                .slots = it.record.slots,
-                                                .warmUpEnd = it.warmUpEnd,
-                                                .startedAt = it.record.startedAt});
     }
     m_connections.setAddresses(std::move(addresses));
     if (m_view->routes) {
@@ -278,7 +274,8 @@
             .retries = {.ratio = bounds.retryRatio, .slack = slack, .window = bounds.retryWindow, .daemons = daemons},
             .daemonDomains = domains,
             .daemonIndex = static_cast<std::size_t>(own - serving.begin()),
-            .limitPool = m_view->limitPool};
+            .limitPool = m_view->limitPool,
+            .coldBound = {.overshoot = bounds.coldOvershoot, .slack = bounds.coldSlack}};
 }
 
 void Traffic::updateProbeRate()
--- a/src/platform/requests.cpp
+++ b/src/platform/requests.cpp
@@ -36,10 +36,15 @@
 // In a refusal of an upstream: seconds, with fractions, for which it wants no requests from this daemon.
 constexpr std::string_view retryAfterHeader = "Retry-After";
 
+// In a response to a probe: milliseconds for which the upstream is still cold; 0 if it is warm.
+constexpr std::string_view coldHeader = "Laburnummast-Cold-Milliseconds";
+
 constexpr int serviceUnavailable = 503;
 constexpr int misdirectedRequest = 421;
 // Statuses from which a caller concludes that its call was not run.
 constexpr std::array<int, 4> notRunStatuses{408, 421, 429, 503};
+// A longer warm-up time in a response is reduced to this.
+constexpr Millis maxColdTime = 3600_s;
 // A longer deadline in a request is reduced to this.
 constexpr Millis maxCallerWait = 3600_s;
 
@@ -113,6 +118,13 @@
     return Placement::LoadReport{.running = numbers[0], .waiting = numbers[1], .slots = numbers[2], .slowness = numbers[3] / 100};
 }
 
+std::optional<Millis> decodeColdRemaining(const Http::Headers &headers)
+{
+    const auto value = Http::find(headers, coldHeader);
+    const auto number = value ? Text::parseNumber(Text::trim(*value)) : std::nullopt;
+    return number && *number >= 0 ? std::optional(std::min(Millis{*number}, maxColdTime)) : std::nullopt;
+}
+
 // Whether the response comes from another upstream than the request was meant for.
 bool isFromOtherUpstream(const Http::Response &response, std::string_view upstream)
 {
@@ -259,7 +271,8 @@
             .healthy = response.status == 200 || refused,
             .wrongInstance = instance && *instance != upstream,
             .refused = refused,
-            .load = decodeLoadReport(response.headers)};
+            .load = decodeLoadReport(response.headers),
+            .coldRemaining = decodeColdRemaining(response.headers)};
 }
 
 Http::Response notRunResponse(std::string_view callId, Millis retryAfter)
--- a/tests/platform/requests.cpp
+++ b/tests/platform/requests.cpp
@@ -158,6 +158,21 @@
     CHECK(decodeProbeResponse(response(503, {instance, {"Laburnummast-Not-Executed", "1"}}), "i-1").healthy);
 }
 
+TEST_CASE("A probe states how long the upstream is still cold, and an unreadable time states nothing")
+{
+    const Http::Header instance{"Laburnummast-Instance-Id", "i-1"};
+    const auto coldRemaining = [&](const std::string &value) {
+        return decodeProbeResponse(response(200, {instance, {"Laburnummast-Cold-Milliseconds", value}}), "i-1").coldRemaining;
+    };
+    CHECK_FALSE(decodeProbeResponse(response(200, {instance}), "i-1").coldRemaining);
+    CHECK(coldRemaining("0") == 0_ms);
+    CHECK(coldRemaining(" 2150 ") == 2150_ms);
+    CHECK(coldRemaining("1e300") == 3600_s);
+    for (const auto *value : {"", "-1", "soon", "nan"}) {
+        CHECK_FALSE(coldRemaining(value));
+    }
+}
+
 TEST_CASE("A refusal states the retry delay in seconds with fractions")
 {
     const auto refusal = notRunResponse("9c41", 62.5_ms);
