Order waiting calls by workspace: priority first, then the service received lately

Waiting calls were ordered by the rank of the route and the objective, so a workspace that sends several times its usual rate took slots in proportion to its calls. Calls now carry a workspace and its rank. Workspaces take turns by decayed counts of attempts, and one that is served far less than all goes first. Calls without a workspace keep their order.

--- a/src/core/placement/callspec.h
+++ b/src/core/placement/callspec.h
@@ -4,10 +4,16 @@
 #include "core/dispatch/call.h"
 #include "core/millis.h"
 
+#include <cstdint>
+
 namespace Laburnummast::Placement
 {
 
 using Dispatch::CallId;
+/// Identifies a workspace within a daemon.
+using WorkspaceId = std::uint32_t;
+/// Stands for calls that belong to no workspace.
+constexpr WorkspaceId noWorkspace = 0;
 
 /// Properties of a call that the dispatcher needs.
 struct CallSpec
@@ -26,14 +32,11 @@
     Millis deadline;
     /// The caller was refused before and will not try again after another refusal.
     bool returning = false;
+    WorkspaceId workspace = noWorkspace;
+    /// Priority of the workspace, which goes before that of the call; 0 is the most urgent.
+    int workspaceRank = 0;
 };
 
-/// Order in which waiting calls get upstreams.
-inline bool goesBefore(const CallSpec &a, const CallSpec &b)
-{
-    return a.rank != b.rank ? a.rank < b.rank : a.objective < b.objective;
-}
-
 }
 
 #endif
--- a/src/core/placement/servicedispatcher.cpp
+++ b/src/core/placement/servicedispatcher.cpp
@@ -30,7 +30,7 @@
     , m_budget(options.retries)
     , m_probeTokens(probeTokens)
     , m_chooser(m_upstreams, m_latencyModel, m_pressure, m_options)
-    , m_waitPolicy(m_upstreams, m_latencyModel)
+    , m_waitPolicy(m_upstreams, m_latencyModel, m_order)
 {
 }
 
@@ -78,6 +78,7 @@
     ++m_counters.calls;
     m_firstCallAt = m_firstCallAt.value_or(now);
     m_budget.recordCall(now);
+    m_service.recordCall(spec.workspace, now);
     auto &call = m_calls[spec.id];
     call.spec = spec;
     call.arrived = now;
@@ -295,6 +296,7 @@
         ++(hedge ? m_counters.hedges : m_counters.retries);
     }
     ++m_counters.sent;
+    m_service.recordAttempt(call.spec.workspace, call.search == Search::First, now);
     const Attempt attempt{.number = call.nextAttempt++,
                           .upstream = choice.upstream,
                           .sentAt = now,
@@ -360,7 +362,7 @@
             searching.push_back(&it);
         }
     }
-    std::stable_sort(searching.begin(), searching.end(), [](const OpenCall *a, const OpenCall *b) { return goesBefore(a->spec, b->spec); });
+    m_order.sort(searching, now);
     for (auto *it : searching) {
         if (advanceSearch(*it, now, actions)) {
             m_calls.erase(it->spec.id);
--- a/src/core/placement/servicedispatcher.h
+++ b/src/core/placement/servicedispatcher.h
@@ -3,6 +3,7 @@
 
 #include "core/dispatch/call.h"
 #include "core/millis.h"
+#include "core/placement/callorder.h"
 #include "core/placement/drainwindow.h"
 #include "core/placement/latencymodel.h"
 #include "core/placement/loadreport.h"
@@ -10,6 +11,7 @@
 #include "core/placement/placementoptions.h"
 #include "core/placement/pressure.h"
 #include "core/placement/probelearner.h"
+#include "core/placement/recentservice.h"
 #include "core/placement/upstreamchooser.h"
 #include "core/placement/upstreamset.h"
 #include "core/placement/waitpolicy.h"
@@ -222,6 +224,8 @@
     /// When the first call was submitted; empty before.
     std::optional<Millis> m_firstCallAt;
     Pressure m_pressure;
+    RecentService m_service;
+    CallOrder m_order{m_service};
     UpstreamChooser m_chooser;
     WaitPolicy m_waitPolicy;
     /// Last time that probes were started for waiting calls.
--- a/src/core/placement/waitpolicy.cpp
+++ b/src/core/placement/waitpolicy.cpp
@@ -15,9 +15,10 @@
 
 }
 
-WaitPolicy::WaitPolicy(const UpstreamSet &upstreams, const LatencyModel &latencyModel)
+WaitPolicy::WaitPolicy(const UpstreamSet &upstreams, const LatencyModel &latencyModel, const CallOrder &order)
     : m_upstreams(upstreams)
     , m_latencyModel(latencyModel)
+    , m_order(order)
 {
 }
 
@@ -59,7 +60,7 @@
     if (limitedAt) {
         const auto callsAhead = std::count_if(calls.begin(), calls.end(), [&](const auto &it) {
             const auto &other = it.second;
-            return other.isWaiting() && goesBefore(other.spec, call.spec);
+            return other.isWaiting() && m_order.goesBefore(other.spec, call.spec, now);
         });
         limitedAt = *limitedAt + 1_s * (static_cast<double>(callsAhead) / sharesPerSecond);
     }
--- a/src/core/placement/waitpolicy.h
+++ b/src/core/placement/waitpolicy.h
@@ -2,6 +2,7 @@
 #define LABURNUMMAST_CORE_PLACEMENT_WAITPOLICY_H
 
 #include "core/millis.h"
+#include "core/placement/callorder.h"
 #include "core/placement/latencymodel.h"
 #include "core/placement/opencall.h"
 #include "core/placement/upstreamset.h"
@@ -17,7 +18,7 @@
 {
 public:
     /// The arguments must outlive the policy.
-    WaitPolicy(const UpstreamSet &upstreams, const LatencyModel &latencyModel);
+    WaitPolicy(const UpstreamSet &upstreams, const LatencyModel &latencyModel, const CallOrder &order);
 
     /// Latest time to keep waiting for an upstream; then the search ends without a suitable upstream.
     Millis waitLimit(const OpenCall &call) const;
@@ -30,6 +31,7 @@
 private:
     const UpstreamSet &m_upstreams;
     const LatencyModel &m_latencyModel;
+    const CallOrder &m_order;
 };
 
 }
