Decide about hedges by their gain, and reconsider denied ones

A late call was considered for a hedge once. Denied for lack of budget or of an upstream, it was never considered again, while early hedges of calls that were soon over used up the budget. Decisions are now repeated; the calls that gain most go first, and the more of the budget is used, the larger the gain has to be. Calls that cannot be over in the time left are refused instead of sent. Counters state why hedges were denied.

--- a/src/core/placement/opencall.h
+++ b/src/core/placement/opencall.h
@@ -39,6 +39,15 @@
 
 /// How long after the deadline an answer of the upstream itself is still awaited.
 constexpr Millis answerGrace = 40_ms;
+/// Why a call that is late got no hedge.
+enum class HedgeDenial : std::uint8_t {
+    Budget,
+    Pressure,
+    NoUpstream,
+    /// The gain is too small, or still grows.
+    Gain,
+};
+
 /// Probe rounds of a search before the call waits.
 constexpr int maxProbeRounds = 2;
 
@@ -64,6 +73,10 @@
     std::optional<AttemptNumber> failedAttempt;
     /// When to consider a hedge; the deadline if there will be none.
     Millis hedgeAt;
+    /// Reasons for which a hedge was denied and counted, one bit each; see HedgeDenial.
+    unsigned hedgeDenials = 0;
+    /// Searches for a hedge that found no upstream.
+    int failedHedgeSearches = 0;
     bool mayHaveRun = false;
     /// The pressure has been updated for the current probe round.
     bool pressureUpdated = false;
--- a/src/core/placement/servicedispatcher.cpp
+++ b/src/core/placement/servicedispatcher.cpp
@@ -11,8 +11,6 @@
 using Dispatch::Disposition;
 using Dispatch::RefusalReason;
 
-// A hedge is sent once a call takes this multiple of the typical latency.
-constexpr double hedgeDelayFactor = 1.6;
 // A daemon with few calls still chooses among this many upstreams.
 constexpr std::size_t minFamiliarUpstreams = 16;
 // Share of waiting calls that are sent to a free slot of an upstream rejected for its expected contention: a learned factor could
@@ -90,7 +88,9 @@
         return;
     }
     // Refused before any probe is sent for it.
-    if (endsTooSoonFor(spec, now)) {
+    const bool isHopeless = m_hedgePolicy.isHopeless(call, now);
+    if (isHopeless || endsTooSoonFor(spec, now)) {
+        m_counters.refusedTooLate += isHopeless ? 1 : 0;
         giveUp(call, now, actions);
         m_calls.erase(spec.id);
         return;
@@ -201,7 +201,8 @@
 
 void ServiceDispatcher::updatePressure(OpenCall &call, bool noneSuitable)
 {
-    if (!call.pressureUpdated) {
+    // Repeated searches for a hedge would count one late call many times.
+    if (!call.pressureUpdated && call.failedHedgeSearches == 0) {
         call.pressureUpdated = true;
         m_pressure.update(noneSuitable);
     }
@@ -215,6 +216,10 @@
     if (endsTooSoonFor(call.spec, now)) {
         return endSearch(call, now, actions);
     }
+    if (call.search != Search::Hedge && m_hedgePolicy.isHopeless(call, now)) {
+        m_counters.refusedTooLate += call.attemptsRun == 0 ? 1 : 0;
+        return giveUp(call, now, actions);
+    }
     const auto choice = m_chooser.bestChoice(call, now);
     const bool suitable = choice && m_chooser.isSuitable(call, *choice, now);
     // Upstreams that do not report load show a free slot by answering the probe quickly, so the first preferred one that answers is
@@ -269,7 +274,8 @@
     // The first attempt goes on if there is no hedge.
     if (call.search == Search::Hedge) {
         call.search = Search::None;
-        call.hedgeAt = call.spec.deadline;
+        ++call.failedHedgeSearches;
+        denyHedge(call, HedgeDenial::NoUpstream, now);
         return false;
     }
     return giveUp(call, now, actions);
@@ -309,19 +315,11 @@
     call.triedUpstreams.push_back(choice.upstream);
     ++call.attemptsRun;
     call.search = Search::None;
-    call.hedgeAt = hedge ? call.spec.deadline : hedgeTime(call, now);
+    call.hedgeAt = hedge ? call.spec.deadline : m_hedgePolicy.firstTime(call.spec, now);
     actions.emplace_back(
         Dispatch::SendAttempt{.call = call.spec.id, .attempt = attempt.number, .upstream = choice.upstream, .hedge = hedge});
 }
 
-Millis ServiceDispatcher::hedgeTime(const OpenCall &call, Millis now) const
-{
-    if (!call.spec.idempotent || !m_latencyModel.hasMeasurements()) {
-        return call.spec.deadline;
-    }
-    return now + m_latencyModel.typicalLatency() * hedgeDelayFactor;
-}
-
 bool ServiceDispatcher::giveUp(OpenCall &call, Millis now, Actions &actions)
 {
     if (call.failedAttempt) {
@@ -396,6 +394,9 @@
     if (outcome == AttemptOutcome::NotSent) {
         entry.view.startBackoff(now);
     }
+    if (succeeded) {
+        m_hedgePolicy.learn(now - attempt->sentAt);
+    }
     if (succeeded && m_probeLearner.upstreamsReportLoad()) {
         m_latencyModel.learn(attempt->condition, entry.view.estimatedCalls() / entry.view.slots(), now - attempt->sentAt);
     } else if (succeeded) {
@@ -457,6 +458,8 @@
 {
     for (const auto &it : call.activeAttempts) {
         if (it.number != except) {
+            // It takes at least this long; without it slow attempts, which are often cancelled, would be missing.
+            m_hedgePolicy.learn(now - it.sentAt);
             m_upstreams[it.upstream].view.recordAttemptEnded(HealthSignal::None, now);
             actions.emplace_back(Dispatch::CancelAttempt{.call = call.spec.id, .attempt = it.number, .upstream = it.upstream});
         }
@@ -495,24 +498,78 @@
 void ServiceDispatcher::tick(Millis now, Actions &actions)
 {
     std::vector<CallId> endedCalls;
+    std::vector<OpenCall *> hedgesDue;
     for (auto &[id, it] : m_calls) {
         if (now >= it.spec.deadline) {
             if (expire(it, now, actions)) {
                 endedCalls.push_back(id);
             }
         } else if (it.search == Search::None && now >= it.hedgeAt) {
-            it.hedgeAt = it.spec.deadline;
-            if (it.attemptsRun < it.spec.maxAttempts && !m_pressure.isHigh() && m_budget.allows(now, m_options.hedgeReserve)) {
-                startSearch(it, Search::Hedge, now, actions);
-            }
+            hedgesDue.push_back(&it);
         }
     }
+    considerHedges(hedgesDue, now, actions);
     for (const auto it : endedCalls) {
         m_calls.erase(it);
     }
     advanceSearches(now, actions);
 }
 
+void ServiceDispatcher::considerHedges(std::vector<OpenCall *> &due, Millis now, Actions &actions)
+{
+    std::vector<std::pair<double, OpenCall *>> order;
+    for (auto *it : due) {
+        if (it->attemptsRun >= it->spec.maxAttempts) {
+            it->hedgeAt = it->spec.deadline;
+        } else {
+            order.emplace_back(m_hedgePolicy.gain(*it, now), it);
+        }
+    }
+    std::stable_sort(order.begin(), order.end(), [](const auto &a, const auto &b) { return a.first > b.first; });
+    const double allowed = m_budget.allowed(now) * (1 - m_options.hedgeReserve);
+    // Searches under way will use the budget as well.
+    auto searching = static_cast<double>(
+        std::count_if(m_calls.begin(), m_calls.end(), [](const auto &it) { return it.second.search == Search::Hedge; }));
+    for (const auto &[gain, it] : order) {
+        const double spent = m_budget.spent(now) + searching;
+        if (m_pressure.isHigh()) {
+            denyHedge(*it, HedgeDenial::Pressure, now);
+        } else if (spent + 1 > allowed) {
+            denyHedge(*it, HedgeDenial::Budget, now);
+        } else if (!m_hedgePolicy.isWorthwhile(*it, spent / allowed, now)) {
+            denyHedge(*it, HedgeDenial::Gain, now);
+        } else {
+            it->hedgeAt = it->spec.deadline;
+            searching += 1;
+            startSearch(*it, Search::Hedge, now, actions);
+        }
+    }
+}
+
+void ServiceDispatcher::denyHedge(OpenCall &call, HedgeDenial reason, Millis now)
+{
+    call.hedgeAt = m_hedgePolicy.nextTime(call, now);
+    const auto bit = 1U << static_cast<unsigned>(reason);
+    if ((call.hedgeDenials & bit) != 0) {
+        return;
+    }
+    call.hedgeDenials |= bit;
+    switch (reason) {
+    case HedgeDenial::Budget:
+        ++m_counters.hedgesDeniedByBudget;
+        break;
+    case HedgeDenial::Pressure:
+        ++m_counters.hedgesDeniedByPressure;
+        break;
+    case HedgeDenial::NoUpstream:
+        ++m_counters.hedgesWithoutUpstream;
+        break;
+    case HedgeDenial::Gain:
+        ++m_counters.hedgesWithoutGain;
+        break;
+    }
+}
+
 std::optional<Millis> ServiceDispatcher::nextDue() const
 {
     std::optional<Millis> due;
--- a/src/core/placement/servicedispatcher.h
+++ b/src/core/placement/servicedispatcher.h
@@ -5,9 +5,11 @@
 #include "core/millis.h"
 #include "core/placement/callorder.h"
 #include "core/placement/drainwindow.h"
+#include "core/placement/hedgepolicy.h"
 #include "core/placement/latencymodel.h"
 #include "core/placement/loadreport.h"
 #include "core/placement/opencall.h"
+#include "core/placement/placementcounters.h"
 #include "core/placement/placementoptions.h"
 #include "core/placement/pressure.h"
 #include "core/placement/probelearner.h"
@@ -31,20 +33,6 @@
 
 using Dispatch::Actions;
 
-/// Counters since the start; they only increase.
-struct PlacementCounters
-{
-    std::uint64_t calls = 0;
-    /// Attempts sent, including retries and hedges.
-    std::uint64_t sent = 0;
-    std::uint64_t retries = 0;
-    std::uint64_t hedges = 0;
-    std::uint64_t refused = 0;
-    std::uint64_t probes = 0;
-    /// Probe rounds of calls that wait for an upstream, including rounds that only reuse load reports.
-    std::uint64_t waitingRounds = 0;
-};
-
 /// Chooses upstreams for the calls of one service on one daemon.
 ///
 /// Speed and load of upstreams change within milliseconds, so a few of them are probed when an upstream is chosen. A call that
@@ -210,7 +198,9 @@
     void cancelOthers(OpenCall &call, std::optional<AttemptNumber> except, Millis now, Actions &actions);
     /// Handles a call past its deadline. Returns whether the call is over.
     bool expire(OpenCall &call, Millis now, Actions &actions);
-    Millis hedgeTime(const OpenCall &call, Millis now) const;
+    /// Starts hedges of the calls that are due for a decision, those with the largest gain first.
+    void considerHedges(std::vector<OpenCall *> &due, Millis now, Actions &actions);
+    void denyHedge(OpenCall &call, HedgeDenial reason, Millis now);
     void advanceSearches(Millis now, Actions &actions);
     PlacementOptions m_options;
     /// Set while the daemon is being stopped.
@@ -223,6 +213,7 @@
     LatencyModel m_latencyModel;
     /// When the first call was submitted; empty before.
     std::optional<Millis> m_firstCallAt;
+    HedgePolicy m_hedgePolicy{m_latencyModel};
     Pressure m_pressure;
     RecentService m_service;
     CallOrder m_order{m_service};
--- a/src/core/routing/latencyhistogram.cpp
+++ b/src/core/routing/latencyhistogram.cpp
@@ -13,6 +13,12 @@
 constexpr double bucketRatio = 1.2;
 constexpr std::uint32_t decayThreshold = 4000;
 
+// Number of the bucket with this upper edge; fractional between two edges.
+double positionOf(Millis latency)
+{
+    return std::log(std::max(latency.count, lowestEdge) / lowestEdge) / std::log(bucketRatio);
+}
+
 Millis upperEdge(std::size_t bucket)
 {
     return {lowestEdge * std::pow(bucketRatio, static_cast<double>(bucket))};
@@ -22,8 +28,7 @@
 
 void LatencyHistogram::add(Millis latency)
 {
-    const double position = std::ceil(std::log(std::max(latency.count, lowestEdge) / lowestEdge) / std::log(bucketRatio));
-    const auto bucket = std::min(static_cast<std::size_t>(position), bucketCount - 1);
+    const auto bucket = std::min(static_cast<std::size_t>(std::ceil(positionOf(latency))), bucketCount - 1);
     ++m_buckets[bucket];
     ++m_total;
     if (m_total >= decayThreshold) {
@@ -44,6 +49,20 @@
     return {};
 }
 
+double LatencyHistogram::shareBelow(Millis latency) const
+{
+    if (m_total == 0 || latency <= Millis{}) {
+        return 0;
+    }
+    const double position = positionOf(latency);
+    double count = 0;
+    for (std::size_t i = 0; i < bucketCount; ++i) {
+        // Within a bucket the latencies count as spread evenly over its logarithmic width.
+        count += m_buckets[i] * std::clamp(position - static_cast<double>(i) + 1, 0.0, 1.0);
+    }
+    return count / m_total;
+}
+
 void LatencyHistogram::decay()
 {
     m_total = 0;
--- a/src/core/routing/latencyhistogram.h
+++ b/src/core/routing/latencyhistogram.h
@@ -4,6 +4,7 @@
 #include "core/millis.h"
 
 #include <array>
+#include <cstddef>
 #include <cstdint>
 
 namespace Laburnummast::Routing
@@ -17,6 +18,13 @@
     void add(Millis latency);
     /// Upper edge of the bucket that contains the quantile `q`, from 0 to 1; 0 while the histogram is empty.
     Millis quantile(double q) const;
+    /// Share of the latencies that are at most as long as `latency`, from 0 to 1; 0 while the histogram is empty.
+    double shareBelow(Millis latency) const;
+    /// Latencies that still count.
+    std::size_t count() const
+    {
+        return m_total;
+    }
     bool empty() const
     {
         return m_total == 0;
--- a/src/entry/admin.cpp
+++ b/src/entry/admin.cpp
@@ -73,6 +73,26 @@
     addCounter(families, "laburnummast_attempts_total", "Attempts sent to upstreams.", counters.placement.sent);
     addCounter(families, "laburnummast_retries_total", "Attempts after another one failed.", counters.placement.retries);
     addCounter(families, "laburnummast_hedges_total", "Attempts beside one that was late.", counters.placement.hedges);
+    addCounter(families,
+               "laburnummast_hedges_denied_budget_total",
+               "Late calls denied another attempt because the budget was used up.",
+               counters.placement.hedgesDeniedByBudget);
+    addCounter(families,
+               "laburnummast_hedges_denied_pressure_total",
+               "Late calls denied another attempt because free slots were scarce.",
+               counters.placement.hedgesDeniedByPressure);
+    addCounter(families,
+               "laburnummast_hedges_denied_upstream_total",
+               "Late calls for which no other upstream was found.",
+               counters.placement.hedgesWithoutUpstream);
+    addCounter(families,
+               "laburnummast_hedges_denied_gain_total",
+               "Late calls to which another attempt was of little use.",
+               counters.placement.hedgesWithoutGain);
+    addCounter(families,
+               "laburnummast_refused_too_late_total",
+               "Calls refused because no attempt could be over in the time left.",
+               counters.placement.refusedTooLate);
     addCounter(families, "laburnummast_probes_total", "Questions for an upstream's load.", counters.placement.probes);
     addCounter(families, "laburnummast_upstream_connections_opened_total", "Connections opened to upstreams.", counters.connectionsOpened);
     addCounter(
--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -824,14 +824,7 @@
     for (const auto &[name, it] : m_services) {
         counters.limitedUpstreams += it->dispatcher.limitedUpstreams(steadyNow());
         counters.unavailableUpstreams += it->dispatcher.unavailableUpstreams(steadyNow());
-        const auto &placed = it->dispatcher.counters();
-        counters.placement.calls += placed.calls;
-        counters.placement.sent += placed.sent;
-        counters.placement.retries += placed.retries;
-        counters.placement.hedges += placed.hedges;
-        counters.placement.refused += placed.refused;
-        counters.placement.probes += placed.probes;
-        counters.placement.waitingRounds += placed.waitingRounds;
+        counters.placement += it->dispatcher.counters();
     }
     return counters;
 }
