--- a/src/core/placement/servicedispatcher.cpp
+++ b/src/core/placement/servicedispatcher.cpp
@@ -275,7 +275,7 @@
     if (call.search == Search::Hedge) {
         call.search = Search::None;
         ++call.failedHedgeSearches;
-        denyHedge(call, HedgeDenial::NoUpstream, now);
+        m_hedgePlanner.deny(call, HedgeDenial::NoUpstream, now);
         return false;
     }
     return giveUp(call, now, actions);
@@ -508,68 +508,15 @@
             hedgesDue.push_back(&it);
         }
     }
-    considerHedges(hedgesDue, now, actions);
+    for (auto *it : m_hedgePlanner.plan(hedgesDue, m_calls, m_options.hedgeReserve, now)) {
+        startSearch(*it, Search::Hedge, now, actions);
+    }
     for (const auto it : endedCalls) {
         m_calls.erase(it);
     }
     advanceSearches(now, actions);
 }
 
-void ServiceDispatcher::considerHedges(std::vector<OpenCall *> &due, Millis now, Actions &actions)
-{
-    std::vector<std::pair<double, OpenCall *>> order;
-    for (auto *it : due) {
-        if (it->attemptsRun >= it->spec.maxAttempts) {
-            it->hedgeAt = it->spec.deadline;
-        } else {
-            order.emplace_back(m_hedgePolicy.gain(*it, now), it);
-        }
-    }
-    std::stable_sort(order.begin(), order.end(), [](const auto &a, const auto &b) { return a.first > b.first; });
-    const double allowed = m_budget.allowed(now) * (1 - m_options.hedgeReserve);
-    // Searches under way will use the budget as well.
-    auto searching = static_cast<double>(
-        std::count_if(m_calls.begin(), m_calls.end(), [](const auto &it) { return it.second.search == Search::Hedge; }));
-    for (const auto &[gain, it] : order) {
-        const double spent = m_budget.spent(now) + searching;
-        if (m_pressure.isHigh()) {
-            denyHedge(*it, HedgeDenial::Pressure, now);
-        } else if (spent + 1 > allowed) {
-            denyHedge(*it, HedgeDenial::Budget, now);
-        } else if (!m_hedgePolicy.isWorthwhile(*it, spent / allowed, now)) {
-            denyHedge(*it, HedgeDenial::Gain, now);
-        } else {
-            it->hedgeAt = it->spec.deadline;
-            searching += 1;
-            startSearch(*it, Search::Hedge, now, actions);
-        }
-    }
-}
-
-void ServiceDispatcher::denyHedge(OpenCall &call, HedgeDenial reason, Millis now)
-{
-    call.hedgeAt = m_hedgePolicy.nextTime(call, now);
-    const auto bit = 1U << static_cast<unsigned>(reason);
-    if ((call.hedgeDenials & bit) != 0) {
-        return;
-    }
-    call.hedgeDenials |= bit;
-    switch (reason) {
-    case HedgeDenial::Budget:
-        ++m_counters.hedgesDeniedByBudget;
-        break;
-    case HedgeDenial::Pressure:
-        ++m_counters.hedgesDeniedByPressure;
-        break;
-    case HedgeDenial::NoUpstream:
-        ++m_counters.hedgesWithoutUpstream;
-        break;
-    case HedgeDenial::Gain:
-        ++m_counters.hedgesWithoutGain;
-        break;
-    }
-}
-
 std::optional<Millis> ServiceDispatcher::nextDue() const
 {
     std::optional<Millis> due;
--- a/src/core/placement/servicedispatcher.h
+++ b/src/core/placement/servicedispatcher.h
@@ -5,6 +5,7 @@
 #include "core/millis.h"
 #include "core/placement/callorder.h"
 #include "core/placement/drainwindow.h"
+#include "core/placement/hedgeplanner.h"
 #include "core/placement/hedgepolicy.h"
 #include "core/placement/latencymodel.h"
 #include "core/placement/loadreport.h"
@@ -198,9 +199,6 @@
     void cancelOthers(OpenCall &call, std::optional<AttemptNumber> except, Millis now, Actions &actions);
     /// Handles a call past its deadline. Returns whether the call is over.
     bool expire(OpenCall &call, Millis now, Actions &actions);
-    /// Starts hedges of the calls that are due for a decision, those with the largest gain first.
-    void considerHedges(std::vector<OpenCall *> &due, Millis now, Actions &actions);
-    void denyHedge(OpenCall &call, HedgeDenial reason, Millis now);
     void advanceSearches(Millis now, Actions &actions);
     PlacementOptions m_options;
     /// Set while the daemon is being stopped.
@@ -223,6 +221,7 @@
     Millis m_waitingProbedAt{-1e9};
     ProbeLearner m_probeLearner;
     PlacementCounters m_counters;
+    HedgePlanner m_hedgePlanner{m_hedgePolicy, m_budget, m_pressure, m_counters};
 };
 
 }
