Choose the failure domain of a call by measured room, if enabled

With PlacementOptions::balanceDomains the dispatcher draws a failure domain for each call by DomainChoice and probes there first. It is off by default, and nothing sets it yet: no configuration or setting asks for it. Without it calls are placed as before.

Virtual time, one dispatcher: with idle upstreams at home at most 5% of the calls leave; at 0.96 calls a slot more than 30% do within 4 s, and they return within 8 s after the load has fallen.

--- a/src/core/placement/domainchoice.cpp
+++ b/src/core/placement/domainchoice.cpp
@@ -38,9 +38,14 @@
 {
 }
 
+bool DomainChoice::isDue(Millis now) const
+{
+    return !m_updatedAt || now - *m_updatedAt >= updateInterval;
+}
+
 void DomainChoice::update(std::string_view home, std::span<const DomainLoad> loads, Millis now)
 {
-    if (m_updatedAt && now - *m_updatedAt < updateInterval) {
+    if (!isDue(now)) {
         return;
     }
     m_updatedAt = now;
--- a/src/core/placement/domainchoice.h
+++ b/src/core/placement/domainchoice.h
@@ -43,6 +43,8 @@
 public:
     explicit DomainChoice(const DomainPrices &prices = {});
 
+    /// Whether update() would take new measurements.
+    bool isDue(Millis now) const;
     /// Takes new measurements; ignored if the last ones are too recent for their effect to show.
     void update(std::string_view home, std::span<const DomainLoad> loads, Millis now);
     /// Part of the calls that leave the own domain, 0 to 1.
--- a/src/core/placement/opencall.h
+++ b/src/core/placement/opencall.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace Laburnummast::Placement
@@ -56,6 +57,8 @@
 {
     CallSpec spec;
     Millis arrived;
+    /// Failure domain whose upstreams are probed first; empty unless PlacementOptions::balanceDomains is set.
+    std::string domain;
     Search search = Search::First;
     int probeRounds = 0;
     Millis probeRoundDeadline;
--- a/src/core/placement/placementoptions.h
+++ b/src/core/placement/placementoptions.h
@@ -47,6 +47,8 @@
     Millis connectionLifetime{8000};
     /// Share of the retry budget that hedges must leave for retries, 0 to 1.
     double hedgeReserve = 0.4;
+    /// Send calls to other failure domains by DomainChoice; otherwise each choice of an upstream weighs distance by a fixed cost.
+    bool balanceDomains = false;
 };
 
 }
--- a/src/core/placement/probelearner.cpp
+++ b/src/core/placement/probelearner.cpp
@@ -7,6 +7,8 @@
 namespace
 {
 
+// Weight of one probe in its smoothed time.
+constexpr double probeTimeWeight = 0.2;
 // After this many consecutive answers without load the service counts as one whose upstreams do not report load.
 constexpr int probesToAssumeNoLoad = 6;
 
@@ -18,6 +20,8 @@
         entry.view.startBackoff(now);
         return;
     }
+    const auto probeTime = now - entry.probeStartedAt;
+    entry.probeTime = entry.probeTime ? *entry.probeTime + (probeTime - *entry.probeTime) * probeTimeWeight : probeTime;
     entry.cold.observeProbe(result.coldRemaining, entry.probeStartedAt, now);
     if (result.load) {
         entry.view.recordLoadReport(*result.load, now);
--- a/src/core/placement/servicedispatcher.cpp
+++ b/src/core/placement/servicedispatcher.cpp
@@ -1,5 +1,7 @@
 #include "core/placement/servicedispatcher.h"
 
+#include "core/placement/domainloads.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -13,6 +15,8 @@
 
 // A daemon with few calls still chooses among this many upstreams.
 constexpr std::size_t minFamiliarUpstreams = 16;
+// Share of calls that no failure domain is chosen for.
+constexpr double undirectedProbability = 0.05;
 // Share of waiting calls that are sent to a free slot of an upstream rejected for its expected contention: a learned factor could
 // never be corrected if no call were sent against it. The second value applies while too few answers support the factor.
 constexpr double trialProbability = 0.03;
@@ -95,6 +99,7 @@
         m_calls.erase(spec.id);
         return;
     }
+    call.domain = chooseDomain(spec, now);
     startSearch(call, Search::First, now, actions);
     if (advanceSearch(call, now, actions)) {
         m_calls.erase(spec.id);
@@ -145,6 +150,22 @@
     return std::max(static_cast<std::size_t>(callsPerLifetime), minFamiliarUpstreams);
 }
 
+std::string ServiceDispatcher::chooseDomain(const CallSpec &spec, Millis now)
+{
+    if (!m_options.balanceDomains) {
+        return {};
+    }
+    if (m_domainChoice.isDue(now)) {
+        m_domainChoice.update(m_options.domain, domainLoads(m_upstreams, m_options.domain, m_latencyModel.typicalLatency(), now), now);
+    }
+    // A few calls are placed as if there were no choice, so that the room of other domains stays known.
+    if (std::bernoulli_distribution(undirectedProbability)(m_random)) {
+        return {};
+    }
+    const double draw = std::uniform_real_distribution<double>(0, 1)(m_random);
+    return std::string(m_domainChoice.choose(spec.bulk, draw).value_or(m_options.domain));
+}
+
 void ServiceDispatcher::startProbeRound(OpenCall &call, std::size_t count, Millis now, Actions &actions)
 {
     ++call.probeRounds;
--- a/src/core/placement/servicedispatcher.h
+++ b/src/core/placement/servicedispatcher.h
@@ -4,6 +4,7 @@
 #include "core/dispatch/call.h"
 #include "core/millis.h"
 #include "core/placement/callorder.h"
+#include "core/placement/domainchoice.h"
 #include "core/placement/drainwindow.h"
 #include "core/placement/hedgeplanner.h"
 #include "core/placement/hedgepolicy.h"
@@ -156,6 +157,11 @@
     {
         return m_latencyModel;
     }
+    /// Part of the calls that leave the own failure domain; 0 unless PlacementOptions::balanceDomains is set.
+    double awayShare(bool bulk) const
+    {
+        return m_domainChoice.awayShare(bulk);
+    }
     /// Recent share of searches that found no suitable upstream, 0 to 1.
     double pressure() const
     {
@@ -173,6 +179,8 @@
     std::size_t familiarCount(Millis now) const;
     /// Sends a probe; returns false if probe tokens ran out.
     bool startProbe(UpstreamId id, Millis now, Actions &actions);
+    /// Failure domain for a new call; see OpenCall::domain.
+    std::string chooseDomain(const CallSpec &spec, Millis now);
     void startProbeRound(OpenCall &call, std::size_t count, Millis now, Actions &actions);
     /// Starts a round for a waiting call; sends probes only if none were sent recently for another waiting call.
     void probeForWaitingCalls(OpenCall &call, Millis now, Actions &actions);
@@ -211,6 +219,7 @@
     LatencyModel m_latencyModel;
     /// When the first call was submitted; empty before.
     std::optional<Millis> m_firstCallAt;
+    DomainChoice m_domainChoice;
     HedgePolicy m_hedgePolicy{m_latencyModel};
     Pressure m_pressure;
     RecentService m_service;
--- a/src/core/placement/upstreamchooser.cpp
+++ b/src/core/placement/upstreamchooser.cpp
@@ -1,6 +1,7 @@
 #include "core/placement/upstreamchooser.h"
 
 #include <algorithm>
+#include <string_view>
 
 namespace Laburnummast::Placement
 {
@@ -72,10 +73,13 @@
     std::stable_partition(order.begin(), order.end(), [&](UpstreamId id) { return isPreferred(m_upstreams[id], now); });
     // Bulk calls probe their own failure domain first; other calls probe it for half of the count, since a suitable near upstream is
     // as good as a far one. Under pressure domains are not distinguished, or the daemons of one domain would overload its upstreams.
-    const auto localWanted = call.spec.bulk ? order.size() : m_pressure.isLow() ? count / 2 : 0;
+    // If a domain was chosen for the call, the first round probes only there.
+    const bool isChosen = !call.domain.empty() && call.probeRounds <= 1;
+    const auto localWanted = call.spec.bulk || isChosen ? order.size() : m_pressure.isLow() ? count / 2 : 0;
+    const std::string_view near = call.domain.empty() ? m_options.domain : call.domain;
     std::size_t localFound = 0;
     std::stable_partition(order.begin(), order.end(), [&](UpstreamId id) {
-        return m_upstreams[id].view.spec().domain == m_options.domain && localFound++ < localWanted;
+        return m_upstreams[id].view.spec().domain == near && localFound++ < localWanted;
     });
     std::stable_partition(order.begin(), order.end(), [&](UpstreamId id) { return m_upstreams[id].cold.isNeglected(now); });
     order.resize(std::min(order.size(), count));
@@ -98,8 +102,9 @@
             continue;
         }
         const auto expectedLatency = m_latencyModel.expectedLatency(view.conditionForNextCall(now));
-        const bool crossDomain = view.spec().domain != m_options.domain;
-        const auto distanceCost = !crossDomain || !m_pressure.isLow() ? 0_ms : call.spec.bulk ? crossDomainBulkCost : crossDomainCost;
+        const bool crossDomain = view.spec().domain != (call.domain.empty() ? m_options.domain : call.domain);
+        const bool ignoresDistance = call.domain.empty() && !m_pressure.isLow();
+        const auto distanceCost = !crossDomain || ignoresDistance ? 0_ms : call.spec.bulk ? crossDomainBulkCost : crossDomainCost;
         const double failureRate = view.failureRate(now);
         const double preferenceFactor = entry.cold.isNeglected(now) ? neglectedCostFactor
             : isPreferred(entry, now)                               ? 1
--- a/src/core/placement/upstreamset.h
+++ b/src/core/placement/upstreamset.h
@@ -62,6 +62,8 @@
     /// A probe is in flight.
     bool probing = false;
     Millis probeStartedAt;
+    /// Time that probes take, smoothed; empty before the first one was answered.
+    std::optional<Millis> probeTime;
     /// Outcomes that this daemon observed since the last takeOutcomes().
     std::uint32_t successes = 0;
     std::uint32_t failures = 0;
--- a/tests/placement/domainchoice.cpp
+++ b/tests/placement/domainchoice.cpp
@@ -1,9 +1,11 @@
 #include "core/placement/domainchoice.h"
+#include "placement/dispatcherfixture.h"
 
 #include <algorithm>
 #include <array>
 #include <doctest/doctest.h>
 #include <random>
+#include <string>
 #include <vector>
 
 using namespace Laburnummast;
@@ -158,3 +160,48 @@
     CHECK(full.awayShare(false) == 0);
     CHECK_FALSE(full.choose(false, 0));
 }
+
+TEST_CASE("A dispatcher sends calls to another failure domain only while its own is full, and only if that is enabled")
+{
+    for (const bool enabled : {false, true}) {
+        CAPTURE(enabled);
+        Tests::DispatcherFixture fixture(0, {.domain = "a", .balanceDomains = enabled});
+        for (int i = 0; i < 12; ++i) {
+            fixture.specs.push_back({.id = "u" + std::to_string(i), .domain = i < 6 ? "a" : "b", .slots = 10});
+        }
+        fixture.dispatcher.setUpstreams(fixture.specs);
+        CallId id = 0;
+        int away = 0;
+        // Sends a call every 5 ms; the upstreams of the own domain report `homeRunning` calls on 10 slots, the others 3.
+        const auto run = [&](double homeRunning, Millis duration) {
+            away = 0;
+            for (const auto end = fixture.now + duration; fixture.now < end; fixture.now += 1_ms) {
+                if (static_cast<int>(fixture.now.count) % 5 == 0) {
+                    fixture.submit(++id, false);
+                }
+                fixture.dispatcher.tick(fixture.now, fixture.actions);
+                const auto loadOf = [&](UpstreamId upstream) {
+                    const bool isHome = fixture.dispatcher.view(upstream)->spec().domain == "a";
+                    return LoadReport{.running = isHome ? homeRunning : 3, .slots = 10};
+                };
+                for (const auto &it : fixture.take<Dispatch::ProbeUpstream>()) {
+                    fixture.dispatcher.probeEnded(
+                        it.upstream, {.answered = true, .load = loadOf(it.upstream)}, fixture.now, fixture.actions);
+                }
+                for (const auto &it : fixture.take<Dispatch::SendAttempt>()) {
+                    away += fixture.dispatcher.view(it.upstream)->spec().domain == "b" ? 1 : 0;
+                    fixture.dispatcher.attemptEnded(
+                        it.call, it.attempt, AttemptOutcome::Answered, loadOf(it.upstream), fixture.now, fixture.actions);
+                }
+            }
+        };
+        run(4, 4_s);
+        CHECK(fixture.dispatcher.awayShare(false) == 0);
+        const int calls = 800;
+        CHECK((!enabled || away <= calls / 20));
+        run(9.6, 4_s);
+        CHECK((fixture.dispatcher.awayShare(false) > 0.3) == enabled);
+        run(4, 8_s);
+        CHECK(fixture.dispatcher.awayShare(false) <= 0.05);
+    }
+}
