--- a/tests/placement/coldupstreams.cpp
+++ b/tests/placement/coldupstreams.cpp
@@ -393,6 +393,22 @@
     CHECK(fixture.take<Dispatch::RefuseCall>().size() == 1);
 }
 
+TEST_CASE("Without probe tokens a call is not sent to an upstream that may have turned cold unless this daemon has a share there")
+{
+    for (const bool limited : {false, true}) {
+        CAPTURE(limited);
+        Tests::DispatcherFixture fixture(0);
+        fixture.specs = {{.id = "u0", .domain = "a", .slots = 3, .coldCallsPerSecond = limited ? 7.9 : 0}};
+        fixture.dispatcher.setUpstreams(fixture.specs);
+        // No probe can be sent, so the upstream is used without a fresh report if it has no limit.
+        fixture.tokens.setRate(0, 0);
+        fixture.submit(1, false);
+        fixture.advanceTime(250_ms, Tests::idleLoad);
+        CHECK(fixture.take<Dispatch::SendAttempt>().size() == (limited ? 0 : 1));
+        CHECK(fixture.take<Dispatch::RefuseCall>().size() == (limited ? 1 : 0));
+    }
+}
+
 TEST_CASE("Only a stated time ends the warm-up time of the record early; a probe without one does not")
 {
     Limits::ColdLimit limit;
