--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -1,6 +1,7 @@
 #include "entry/traffic.h"
 
 #include "core/text.h"
+#include "entry/upstreamspecs.h"
 #include "platform/directory.h"
 #include "platform/requests.h"
 #include "process/wallclock.h"
@@ -209,14 +210,9 @@
 void Traffic::applyRoutesAndUpstreams()
 {
     UpstreamConnections::Addresses addresses;
-    std::map<std::string, std::vector<Placement::UpstreamSpec>, std::less<>> byService;
+    auto byService = upstreamSpecs(*m_view);
     for (const auto &it : *m_view->upstreams) {
         addresses[it.record.id] = it.record.address;
-        byService[it.record.service].push_back({.id = it.record.id,
-                                                .domain = it.record.domain,
-                                                .slots = it.record.slots,
-                                                .warmUpEnd = it.warmUpEnd,
-                                                .startedAt = it.record.startedAt});
     }
     m_connections.setAddresses(std::move(addresses));
     if (m_view->routes) {
@@ -270,7 +266,8 @@
             .retries = {.ratio = bounds.retryRatio, .slack = slack, .window = bounds.retryWindow, .daemons = daemons},
             .daemonDomains = domains,
             .daemonIndex = static_cast<std::size_t>(own - serving.begin()),
-            .limitPool = m_view->limitPool};
+            .limitPool = m_view->limitPool,
+            .coldBound = {.overshoot = bounds.coldOvershoot, .slack = bounds.coldSlack}};
 }
 
 void Traffic::updateProbeRate()
@@ -320,7 +317,9 @@
                                .maxAttempts = route->maxAttempts,
                                .objective = now + route->objective - elapsed - callerRoundTrip,
                                .deadline = now + std::min(callerTimeout, route->timeout),
-                               .returning = elapsed > 0_ms},
+                               .returning = elapsed > 0_ms,
+                               .workspace = workspace ? m_workspaceIds.idOf(workspace->name) : Placement::noWorkspace,
+                               .workspaceRank = workspace ? workspace->rank : 0},
                       .service = &serviceOf(Routes::selectService(*route, call.id).service),
                       .route = route->name,
                       .routesVersion = m_view->routes->version(),
@@ -816,14 +815,7 @@
     for (const auto &[name, it] : m_services) {
         counters.limitedUpstreams += it->dispatcher.limitedUpstreams(steadyNow());
         counters.unavailableUpstreams += it->dispatcher.unavailableUpstreams(steadyNow());
-        const auto &placed = it->dispatcher.counters();
-        counters.placement.calls += placed.calls;
-        counters.placement.sent += placed.sent;
-        counters.placement.retries += placed.retries;
-        counters.placement.hedges += placed.hedges;
-        counters.placement.refused += placed.refused;
-        counters.placement.probes += placed.probes;
-        counters.placement.waitingRounds += placed.waitingRounds;
+        counters.placement += it->dispatcher.counters();
     }
     return counters;
 }
--- a/src/entry/traffic.h
+++ b/src/entry/traffic.h
@@ -13,6 +13,7 @@
 #include "entry/peerreport.h"
 #include "entry/returningcallerestimator.h"
 #include "entry/upstreamconnections.h"
+#include "entry/workspaceids.h"
 #include "http/listener.h"
 
 #include <array>
@@ -225,6 +226,7 @@
     std::map<std::string, std::unique_ptr<Service>, std::less<>> m_services;
     CallMap m_calls;
     ReturningCallerEstimator m_returningCallers;
+    WorkspaceIds m_workspaceIds;
     boost::asio::steady_timer m_housekeepingTimer;
     LatencyTotals m_latencies;
     CallLog m_callLog;
