--- a/tests/platform/endlessupstream.h
+++ b/tests/platform/endlessupstream.h
@@ -18,8 +18,16 @@
 class EndlessUpstream
 {
 public:
-    EndlessUpstream(boost::asio::io_context &loop, std::string id)
+    /// How the body is sent.
+    enum class Framing {
+        /// Without a length: the end of the connection would end it.
+        UntilClose,
+        Chunked,
+    };
+
+    EndlessUpstream(boost::asio::io_context &loop, std::string id, Framing framing = Framing::UntilClose)
         : m_id(std::move(id))
+        , m_framing(framing)
         , m_acceptor(loop, Tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0))
     {
         accept();
@@ -87,7 +95,8 @@
         if (isCall) {
             ++calls;
             const auto id = head.substr(at, head.find('\r', at) - at);
-            connection->response = common + id + "\r\nLaburnummast-Response-Signature: s\r\n\r\n";
+            connection->response = common + id + "\r\nLaburnummast-Response-Signature: s\r\n"
+                + (m_framing == Framing::Chunked ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n");
         } else {
             connection->response = common + "Content-Length: 0\r\n\r\n";
         }
@@ -115,8 +124,10 @@
     }
 
     std::string m_id;
+    Framing m_framing;
     Tcp::acceptor m_acceptor;
-    std::string m_block = std::string(262144, 'x');
+    // In chunked framing, one chunk.
+    std::string m_block = m_framing == Framing::Chunked ? "40000\r\n" + std::string(262144, 'x') + "\r\n" : std::string(262144, 'x');
 };
 
 }
