One owner for the memory and the connections of clients and upstreams

A daemon held more than its settings allow: each request that was taken started another read, so pipelined input had no bound; heads, receive buffers and own answers were not counted; bodies without a length were counted after they had grown; large freed buffers raised glibc's bound for mapped ones and fragmented the heap; connections had no limit.

Entry::ClientMemory now owns a budget and a guard for the three listeners and the attempts; the port for records has its own. Memory is reserved before a buffer grows, connections whose answers are not read are not read either, connections without data need no buffer, and if memory or connections run out the transfers that hold most for longest end first. self.limits.fd-limit is read. The port for metrics keeps at most 16 connections waiting.

--- a/src/core/bufferbudget.cpp
+++ b/src/core/bufferbudget.cpp
@@ -7,11 +7,17 @@
 namespace
 {
 
-// Shares of the memory of a process. The rest is for its code and state, for heads and for buffers that are copied while they grow.
-constexpr double requestShare = 0.5;
-constexpr double totalShare = 0.65;
-constexpr double smallBodyShare = 0.1;
+// Memory of an idle process without connections; of a small process at most half.
+constexpr std::uint64_t idleProcessBytes = 14000000;
+// Shares of the memory beyond that. The rest is for the state of a large deployment, for the fragmentation of the heap and for a buffer
+// that is copied while it grows.
+constexpr double requestShare = 0.55;
+constexpr double totalShare = 0.7;
+constexpr double smallBodyShare = 0.08;
+constexpr double connectionShare = 0.1;
 constexpr std::uint64_t maxSmallBodyBytes = 65536;
+// Part of the memory for bodies that connections may use while no body does.
+constexpr std::uint64_t overflowDivisor = 4;
 
 std::uint64_t shareOf(std::uint64_t bytes, double share)
 {
@@ -22,9 +28,11 @@
 
 BufferBudgetOptions BufferBudgetOptions::forMemory(std::uint64_t memoryBytes)
 {
-    return {.requestBytes = shareOf(memoryBytes, requestShare),
-            .totalBytes = shareOf(memoryBytes, totalShare),
-            .smallBodyBytes = shareOf(memoryBytes, smallBodyShare)};
+    const auto usable = memoryBytes - std::min(memoryBytes / 2, idleProcessBytes);
+    return {.requestBytes = shareOf(usable, requestShare),
+            .totalBytes = shareOf(usable, totalShare),
+            .smallBodyBytes = shareOf(usable, smallBodyShare),
+            .connectionBytes = shareOf(usable, connectionShare)};
 }
 
 BufferBudget::BufferBudget(const BufferBudgetOptions &options)
@@ -40,9 +48,13 @@
 bool BufferBudget::raise(BufferUse use, std::uint64_t from, std::uint64_t to)
 {
     const auto added = to - from;
+    if (use == BufferUse::Connection) {
+        return raiseForConnection(added);
+    }
+    const auto taken = m_reserved + connectionOverflow(m_reservedForConnections);
     const bool small = to <= maxSmallBodyBytes;
     const bool requestFits = use == BufferUse::Answer || small || m_reservedForRequests + added <= m_options.requestBytes;
-    if (!requestFits || m_reserved + added > m_options.totalBytes + (small ? m_options.smallBodyBytes : 0)) {
+    if (!requestFits || taken + added > m_options.totalBytes + (small ? m_options.smallBodyBytes : 0)) {
         return false;
     }
     m_reserved += added;
@@ -51,8 +63,27 @@
     return true;
 }
 
+bool BufferBudget::raiseForConnection(std::uint64_t added)
+{
+    const auto overflow = connectionOverflow(m_reservedForConnections + added);
+    if (overflow > m_options.totalBytes / overflowDivisor || (overflow > 0 && m_reserved + overflow > m_options.totalBytes)) {
+        return false;
+    }
+    m_reservedForConnections += added;
+    return true;
+}
+
+std::uint64_t BufferBudget::connectionOverflow(std::uint64_t connectionBytes) const
+{
+    return connectionBytes - std::min(connectionBytes, m_options.connectionBytes);
+}
+
 void BufferBudget::release(BufferUse use, std::uint64_t bytes)
 {
+    if (use == BufferUse::Connection) {
+        m_reservedForConnections -= bytes;
+        return;
+    }
     m_reserved -= bytes;
     m_reservedForRequests -= use == BufferUse::Request ? bytes : 0;
 }
@@ -80,4 +111,12 @@
     return true;
 }
 
+void BufferReservation::lowerTo(std::uint64_t bytes)
+{
+    if (bytes < m_bytes) {
+        m_budget->release(m_use, m_bytes - bytes);
+        m_bytes = bytes;
+    }
+}
+
 }
--- a/src/entry/admin.cpp
+++ b/src/entry/admin.cpp
@@ -18,6 +18,8 @@
 
 // Only a few operators request metrics or the state dump at the same time.
 constexpr int adminThreads = 2;
+// Few, because descriptors are needed for callers.
+constexpr int queuedAdminConnections = 16;
 
 // The serializer writes only the one of the two values that fits the type of the family.
 prometheus::ClientMetric sample(double value, Labels labels = {})
@@ -45,6 +47,29 @@
     addFamily(families, name, help, prometheus::MetricType::Gauge, {sample(value)});
 }
 
+void addClientMetrics(Families &families, const ClientMemoryState &clients)
+{
+    std::vector<prometheus::ClientMetric> closed;
+    for (std::size_t i = 0; i < Http::guardReasonCount; ++i) {
+        closed.push_back(
+            sample(static_cast<double>(clients.closed[i]), {{"reason", std::string(Http::nameOf(static_cast<Http::GuardReason>(i)))}}));
+    }
+    addFamily(families,
+              "laburnummast_connections_closed_total",
+              "Connections of clients that were closed or not accepted to keep memory and descriptors for others.",
+              prometheus::MetricType::Counter,
+              std::move(closed));
+    addGauge(families,
+             "laburnummast_connection_bytes",
+             "Memory reserved for connections of clients, without bodies.",
+             static_cast<double>(clients.connectionBytes));
+    addGauge(families, "laburnummast_client_connections", "Open connections of clients.", static_cast<double>(clients.connections));
+    addGauge(families,
+             "laburnummast_client_connections_limit",
+             "Limit for open connections of clients.",
+             static_cast<double>(clients.maxConnections));
+}
+
 void addTrafficMetrics(Families &families, const TrafficCounters &counters, const LatencyTotals &latencies)
 {
     std::vector<prometheus::ClientMetric> ends;
@@ -70,6 +95,7 @@
              "laburnummast_buffered_bytes_peak",
              "Most memory that was reserved for bodies of calls and answers.",
              static_cast<double>(counters.peakBufferedBytes));
+    addClientMetrics(families, counters.clients);
     addCounter(families, "laburnummast_attempts_total", "Attempts sent to upstreams.", counters.placement.sent);
     addCounter(families, "laburnummast_retries_total", "Attempts after another one failed.", counters.placement.retries);
     addCounter(families, "laburnummast_hedges_total", "Attempts beside one that was late.", counters.placement.hedges);
@@ -180,7 +206,7 @@
 
 std::optional<Address> Admin::start(const Address &address)
 {
-    const Net::HttpServerOptions options{.address = address, .threads = adminThreads};
+    const Net::HttpServerOptions options{.address = address, .threads = adminThreads, .queuedConnections = queuedAdminConnections};
     const auto failure = m_server.start(options, [this](Net::ServerRequest &request) { handle(request); });
     return failure ? std::optional(failure->address) : std::nullopt;
 }
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -14,6 +14,7 @@
 #include <absl/flags/usage.h>
 #include <csignal>
 #include <iostream>
+#include <malloc.h>
 #include <optional>
 #include <thread>
 
@@ -31,6 +32,9 @@
 constexpr int exitBadSettings = 2;
 constexpr int exitCannotListen = 3;
 constexpr Millis signalPollInterval{500};
+// Longer buffers are mapped on their own and returned to the system once they are freed. By default the bound rises to 32 MiB with the
+// longest buffer that was freed; bodies then fragment the heap, which takes much more memory than the bodies.
+constexpr int mappedBufferBytes = 131072;
 
 std::optional<NodeSettings> loadSettings(const std::string &path)
 {
@@ -97,6 +101,8 @@
 
 int main(int argc, char **argv)
 {
+    mallopt(M_MMAP_THRESHOLD, Laburnummast::Entry::mappedBufferBytes);
+    mallopt(M_TRIM_THRESHOLD, Laburnummast::Entry::mappedBufferBytes);
     absl::SetProgramUsageMessage("laburnummast-entry [--settings=FILE]: serves callers on one entry host of the platform");
     absl::ParseCommandLine(argc, argv);
     auto path = absl::GetFlag(FLAGS_settings);
--- a/src/entry/nodesettings.h
+++ b/src/entry/nodesettings.h
@@ -77,6 +77,8 @@
     double linkMegabits = 10;
     /// Memory that this daemon may use, in megabytes (1,000,000 bytes).
     double memoryMegabytes = 256;
+    /// Descriptors that this daemon may use; 0 for the limit of its process.
+    double descriptorLimit = 0;
     /// CPU share of this daemon; without effect.
     double cpuShare = 1;
     NodeBounds bounds;
--- a/src/entry/peerlink.cpp
+++ b/src/entry/peerlink.cpp
@@ -1,6 +1,7 @@
 #include "entry/peerlink.h"
 
 #include "core/text.h"
+#include "entry/clientmemory.h"
 #include "http/contentcoding.h"
 #include "process/log.h"
 #include "process/wallclock.h"
@@ -29,6 +30,8 @@
 // Smaller bodies are sent as they are.
 constexpr std::size_t minCompressedBytes = 1024;
 constexpr int deferredStatus = 503;
+// Requests for records have no body; one of this size is still read.
+constexpr std::uint64_t maxRequestBodyBytes = 65536;
 // Only daemons can reach the internal ports, so the key is not secret: the keyed hash rejects stray datagrams, not forged ones.
 constexpr std::string_view membershipKey = "laburnummast-members";
 
@@ -117,6 +120,10 @@
     }
     boost::system::error_code ec;
     const auto ip = Asio::ip::make_address(members.ip, ec);
+    const auto guard = recordsGuard(m_settings);
+    m_recordsListener.setBufferBudget(guard->budget());
+    m_recordsListener.setGuard(guard);
+    m_recordsListener.setLimits({.maxBodyBytes = maxRequestBodyBytes});
     if (ec || m_recordsListener.start({ip, members.port})) {
         return members;
     }
--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -35,7 +35,6 @@
 constexpr double probeBurstSeconds = 5;
 // Answers up to this size are accepted whatever the routes allow for requests; a longer one takes too much of the daemon's memory.
 constexpr std::uint64_t minAnswerBytesLimit = 67108864;
-constexpr double bytesPerMegabyte = 1000000;
 // Longest body of a response to a probe; what counts is in its head.
 constexpr std::uint64_t maxProbeBodyBytes = 65536;
 // Longest request body on the readiness and directory listeners.
@@ -149,8 +148,7 @@
     , m_settings(settings)
     , m_onObservations(std::move(onObservations))
     , m_view(std::make_shared<NodeView>())
-    , m_budget(std::make_shared<BufferBudget>(
-          BufferBudgetOptions::forMemory(static_cast<std::uint64_t>(std::max(0.0, settings.memoryMegabytes) * bytesPerMegabyte))))
+    , m_memory(settings)
     , m_front(loop,
               {.onRequest = [this](Http::Request request,
                                    const Http::Responder &responder,
@@ -174,7 +172,7 @@
     , m_random(XXH3_64bits(settings.host.data(), settings.host.size()))
 {
     m_front.setLimits({.provisional = true});
-    m_front.setBufferBudget(m_budget);
+    m_memory.attach({&m_front, &m_readiness, &m_directory});
 }
 
 Traffic::~Traffic() = default;
@@ -226,6 +224,7 @@
                                                 .warmUpEnd = it.warmUpEnd,
                                                 .startedAt = it.record.startedAt});
     }
+    m_memory.setUpstreamCount(addresses.size());
     m_connections.setAddresses(std::move(addresses));
     if (m_view->routes) {
         for (const auto &[name, spec] : m_view->routes->services()) {
@@ -481,7 +480,7 @@
          .body = openCall.call.body,
          .timeout = left + answerGrace,
          .maxBodyBytes = maxAnswerBytes(),
-         .budget = m_budget,
+         .budget = m_memory.budget(),
          .headRequest = openCall.call.method == "HEAD",
          .matchesRequest = [callId = openCall.call.id](const Http::Response &it) { return Platform::isResponseToCall(it, callId); },
          .onResult = onResult});
@@ -817,8 +816,9 @@
     const auto connections = m_connections.counters();
     TrafficCounters counters{.ended = m_endCounts,
                              .rejected = m_front.counters().rejected,
-                             .bufferedBytes = m_budget->reservedBytes(),
-                             .peakBufferedBytes = m_budget->peakBytes(),
+                             .bufferedBytes = m_memory.budget()->reservedBytes(),
+                             .peakBufferedBytes = m_memory.budget()->peakBytes(),
+                             .clients = m_memory.state(),
                              .connectionsOpened = connections.opened,
                              .connectionsReused = connections.reused,
                              .suppressedLogLines = m_callLog.suppressedCount(),
--- a/src/entry/traffic.h
+++ b/src/entry/traffic.h
@@ -4,6 +4,7 @@
 #include "core/placement/servicedispatcher.h"
 #include "entry/call.h"
 #include "entry/calllog.h"
+#include "entry/clientmemory.h"
 #include "entry/latencytotals.h"
 #include "entry/nodesettings.h"
 #include "entry/nodeview.h"
@@ -64,6 +65,7 @@
     /// Memory reserved for bodies of calls and answers, now and at most; not counters.
     std::uint64_t bufferedBytes = 0;
     std::uint64_t peakBufferedBytes = 0;
+    ClientMemoryState clients;
     std::uint64_t connectionsOpened = 0;
     std::uint64_t connectionsReused = 0;
     std::uint64_t suppressedLogLines = 0;
@@ -230,8 +232,7 @@
     NodeSettings m_settings;
     OnObservations m_onObservations;
     std::shared_ptr<const NodeView> m_view;
-    /// For the bodies of calls and answers.
-    std::shared_ptr<BufferBudget> m_budget;
+    ClientMemory m_memory;
     Http::Listener m_front;
     Http::Listener m_readiness;
     Http::Listener m_directory;
--- a/src/http/clientconnection.cpp
+++ b/src/http/clientconnection.cpp
@@ -1,6 +1,7 @@
 #include "http/clientconnection.h"
 
 #include "core/text.h"
+#include "http/bodymemory.h"
 #include "process/wallclock.h"
 
 #include <algorithm>
@@ -22,6 +23,8 @@
 constexpr int maxDiscardedResponses = 100;
 // How often a connection that waits for memory checks for it.
 constexpr std::chrono::milliseconds memoryCheckInterval(10);
+// Memory of a header beside its text, in the parser and in the copy that is passed on.
+constexpr std::uint64_t headerMemory = 192;
 // Assumed keep-alive timeout of a server that does not announce one; a common server default.
 constexpr Millis defaultKeepAlive = 5_s;
 
@@ -124,6 +127,7 @@
         }
         boost::system::error_code ignored;
         self->m_socket.set_option(Asio::ip::tcp::no_delay(true), ignored);
+        self->m_socket.non_blocking(true, ignored);
         self->m_connected = true;
         self->send();
     });
@@ -157,6 +161,7 @@
 {
     m_parser.emplace();
     m_reservation.reset();
+    m_headMemory = 0;
     // Not eager: an eager parser goes on to the body when the head's Content-Length is beyond the limit, and reserves that length.
     m_parser->skip(m_exchange.headRequest);
     m_parser->header_limit(maxHeadBytes);
@@ -169,16 +174,25 @@
         return;
     }
     m_readPending = true;
-    m_socket.async_read_some(m_buffer.prepare(readSizeBytes),
-                             [self = shared_from_this()](const auto &ec, std::size_t n) { self->onRead(ec, n); });
+    // Waits before it reads, so that an idle connection needs no buffer.
+    m_socket.async_wait(Asio::ip::tcp::socket::wait_read, [self = shared_from_this()](const auto &ec) { self->onReadable(ec); });
 }
 
-void ClientConnection::onRead(const boost::system::error_code &ec, std::size_t n)
+void ClientConnection::onReadable(boost::system::error_code ec)
 {
     m_readPending = false;
     if (m_state == State::Closed) {
         return;
     }
+    thread_local std::array<char, readSizeBytes> received;
+    std::size_t n = 0;
+    if (!ec) {
+        n = m_socket.read_some(Asio::buffer(received), ec);
+        if (ec == Asio::error::would_block || ec == Asio::error::try_again) {
+            read();
+            return;
+        }
+    }
     if (m_state != State::Exchanging) {
         // Data or end of stream without a pending request belongs to no exchange, so the connection cannot be reused.
         close();
@@ -193,16 +207,21 @@
         onStreamEnded();
         return;
     }
-    m_buffer.commit(n);
+    m_buffer.commit(Asio::buffer_copy(m_buffer.prepare(n), Asio::buffer(received, n)));
     if (m_exchange.progressTimeout) {
         startTimer();
     }
     parseBuffered();
 }
 
-void ClientConnection::parseBuffered()
+bool ClientConnection::parse()
 {
+    m_lacksMemory = false;
     while (m_buffer.size() > 0 && !m_parser->is_done()) {
+        if (!reserve()) {
+            m_lacksMemory = true;
+            return true;
+        }
         boost::system::error_code ec;
         const auto n = m_parser->put(m_buffer.data(), ec);
         m_buffer.consume(n);
@@ -211,13 +230,26 @@
         }
         if (ec) {
             fail(errorOf(ec));
-            return;
+            return false;
         }
         if (n == 0) {
             break;
         }
     }
-    if (!reserveBody()) {
+    if (m_buffer.size() == 0) {
+        m_buffer.clear();
+        m_buffer.shrink_to_fit();
+    }
+    m_lacksMemory = !m_parser->is_done() && !reserve();
+    return true;
+}
+
+void ClientConnection::parseBuffered()
+{
+    if (!parse()) {
+        return;
+    }
+    if (m_lacksMemory) {
         waitForMemory();
         return;
     }
@@ -233,24 +265,40 @@
     read();
 }
 
-bool ClientConnection::reserveBody()
+bool ClientConnection::reserve()
 {
-    if (!m_exchange.budget || !m_parser->is_header_done()) {
+    if (!m_exchange.budget) {
         return true;
     }
     if (!m_reservation) {
         m_reservation = std::make_shared<BufferReservation>(m_exchange.budget, BufferUse::Answer);
     }
-    const auto length = m_exchange.headRequest ? 0 : m_parser->content_length();
-    return m_reservation->raiseTo(length ? *length : m_parser->get().body().capacity());
+    if (!m_parser->is_header_done()) {
+        return m_reservation->raiseTo(m_buffer.capacity());
+    }
+    if (m_headMemory == 0) {
+        for (const auto &it : m_parser->get()) {
+            m_headMemory += headerMemory + 2 * (it.name_string().size() + it.value().size());
+        }
+    }
+    const auto length = m_parser->content_length();
+    const bool hasLength = m_exchange.headRequest || length.has_value();
+    return growBody(m_parser->get().body(),
+                    *m_reservation,
+                    {.length = hasLength ? std::optional<std::uint64_t>(m_exchange.headRequest ? 0 : *length) : std::nullopt,
+                     .arrivedBytes = m_buffer.size(),
+                     .maxBodyBytes = m_exchange.maxBodyBytes,
+                     .extraBytes = m_headMemory});
 }
 
 void ClientConnection::waitForMemory()
 {
-    if (!m_exchange.budget->canHold(BufferUse::Answer, m_parser->content_length().value_or(0))) {
+    const auto length = m_parser->is_header_done() ? m_parser->content_length().value_or(0) : 0;
+    if (!m_exchange.budget->canHold(BufferUse::Answer, length)) {
         fail(ClientError::TooLarge);
         return;
     }
+    m_exchange.budget->reportShortage();
     m_memoryTimer.emplace(m_socket.get_executor(), memoryCheckInterval);
     m_memoryTimer->async_wait([self = shared_from_this(), exchange = m_exchangeCount](const auto &ec) {
         if (!ec && self->m_exchangeCount == exchange && self->m_state == State::Exchanging) {
@@ -280,6 +328,9 @@
 void ClientConnection::onResponse()
 {
     const bool endsConnection = m_parser->need_eof();
+    if (m_reservation) {
+        trimBody(m_parser->get().body(), *m_reservation, m_headMemory);
+    }
     auto response = toResponse(m_parser->release());
     response.reservation = std::move(m_reservation);
     if (response.status < 200 || (m_exchange.matchesRequest && !m_exchange.matchesRequest(response))) {
--- a/src/http/clientconnection.h
+++ b/src/http/clientconnection.h
@@ -127,12 +127,14 @@
     void onRequestSent(const boost::system::error_code &ec);
     void resetParser();
     void read();
-    void onRead(const boost::system::error_code &ec, std::size_t n);
+    void onReadable(boost::system::error_code ec);
     void parseBuffered();
+    /// Passes what is buffered to the parser, as far as there is memory; returns false if the exchange has failed.
+    bool parse();
     void onStreamEnded();
     void onResponse();
-    /// Reserves memory for the body that is being received; returns false if there is none at present.
-    bool reserveBody();
+    /// Reserves memory for the head or the part of the body that is being received; returns false if there is none at present.
+    bool reserve();
     /// Stops reading, so that the server stops sending, until there is memory for the body.
     void waitForMemory();
     void finish(ClientResult result);
@@ -146,8 +148,12 @@
     boost::asio::ip::tcp::endpoint m_server;
     boost::beast::flat_buffer m_buffer;
     std::optional<Parser> m_parser;
-    /// For the body that is being received; null before its head is complete or without a budget.
+    /// For the response that is being received; null without a budget.
     std::shared_ptr<BufferReservation> m_reservation;
+    /// Memory for the head of the response.
+    std::uint64_t m_headMemory = 0;
+    /// Whether the parser has to wait until there is memory for the response.
+    bool m_lacksMemory = false;
     Exchange m_exchange;
     State m_state = State::Idle;
     bool m_connected = false;
--- a/src/http/listener.cpp
+++ b/src/http/listener.cpp
@@ -54,6 +54,9 @@
             return;
         }
         if (ec) {
+            if (m_state->guard) {
+                m_state->guard->makeRoomForConnections();
+            }
             m_acceptRetryTimer.expires_after(acceptRetryDelay);
             m_acceptRetryTimer.async_wait([this](const auto &timerError) {
                 if (!timerError) {
@@ -70,7 +73,11 @@
 void Listener::addConnection(boost::asio::ip::tcp::socket socket)
 {
     ++m_state->counters.accepted;
-    const auto connection = std::make_shared<ServerConnection>(std::move(socket), m_state);
+    if (m_state->guard && !m_state->guard->admit()) {
+        return;
+    }
+    // Not make_shared(): the weak pointers would keep the memory of connections that have ended.
+    const std::shared_ptr<ServerConnection> connection(new ServerConnection(std::move(socket), m_state));
     removeExpired();
     m_connections.push_back(connection);
     connection->start();
@@ -95,6 +102,11 @@
     m_state->budget = std::move(budget);
 }
 
+void Listener::setGuard(std::shared_ptr<ConnectionGuard> guard)
+{
+    m_state->guard = std::move(guard);
+}
+
 void Listener::beginDraining()
 {
     m_state->draining = true;
--- a/src/http/listener.h
+++ b/src/http/listener.h
@@ -29,6 +29,8 @@
     void setLimits(const ServerLimits &limits);
     /// Limits the memory for the bodies of requests. To be called before start().
     void setBufferBudget(std::shared_ptr<BufferBudget> budget);
+    /// Limits the connections, also together with those of other listeners. To be called before start().
+    void setGuard(std::shared_ptr<ConnectionGuard> guard);
     /// Closes idle connections now and each other one after the responses to the requests that it has received. New connections are
     /// still accepted, and closed after their first response.
     void beginDraining();
--- a/src/http/serverconnection.cpp
+++ b/src/http/serverconnection.cpp
@@ -1,6 +1,8 @@
 #include "http/serverconnection.h"
 
 #include "core/text.h"
+#include "http/bodymemory.h"
+#include "http/rejectreason.h"
 #include "process/wallclock.h"
 
 #include <algorithm>
@@ -16,8 +18,15 @@
 namespace Asio = boost::asio;
 namespace Beast = boost::beast::http;
 
-// Limit for pipelined bytes that are buffered while a response is pending.
-constexpr std::size_t maxPipelinedBytes = 65536;
+// Limit for pipelined bytes that are buffered while a response is pending, so that a client that disconnects is noticed. The rest stays in
+// the socket, whose full buffer stops the client.
+constexpr std::size_t maxPipelinedBytes = 4096;
+// A client that sends nothing for this time after an answer has ended its pipelined requests.
+constexpr Millis pipeliningPause = 100_ms;
+// Longest part of a request that is read at once.
+constexpr std::size_t readSizeBytes = 16384;
+// `Retry-After` of a request that was refused for want of memory, in seconds.
+constexpr const char *noMemoryRetryAfter = "1";
 // Time for the client to read the last response before the connection is closed. Closing a socket with unread data resets the
 // connection, which can discard the response.
 constexpr Millis lingerTimeout = 500_ms;
@@ -25,9 +34,6 @@
 constexpr Millis drainingIdleTimeout = 500_ms;
 // Longest part of a body that is written at once; the client has to read it within the idle timeout.
 constexpr std::size_t maxWriteBytes = 262144;
-// How long a request waits for memory for its body before it is refused, and how often that is checked.
-constexpr Millis maxMemoryWait = 1000_ms;
-constexpr Millis memoryCheckInterval = 10_ms;
 
 std::string_view toView(boost::beast::string_view text)
 {
@@ -47,87 +53,55 @@
     return request;
 }
 
-RejectReason reasonOf(const boost::system::error_code &ec)
-{
-    if (ec == Beast::error::header_limit || ec == Beast::error::buffer_overflow) {
-        return RejectReason::HeadTooLarge;
-    }
-    return ec == Beast::error::body_limit ? RejectReason::BodyTooLarge : RejectReason::Malformed;
-}
-
-int statusOf(RejectReason reason, bool provisional)
-{
-    switch (reason) {
-    case RejectReason::Malformed:
-        return 400;
-    // Under provisional limits 503: the limits that apply may allow this request.
-    case RejectReason::HeadTooLarge:
-        return provisional ? 503 : 431;
-    case RejectReason::BodyTooLarge:
-        return provisional ? 503 : 413;
-    case RejectReason::Incomplete:
-        return 408;
-    case RejectReason::Draining:
-    case RejectReason::NoMemory:
-        return 503;
-    }
-    return 400;
 }
 
-}
-
-std::string_view nameOf(RejectReason reason)
-{
-    constexpr std::array<std::string_view, rejectReasonCount> names{
-        "malformed", "head-too-large", "body-too-large", "incomplete", "draining", "no-memory"};
-    return names[static_cast<std::size_t>(reason)];
-}
-
-Responder::Responder(std::weak_ptr<ServerConnection> connection, std::uint64_t requestId)
-    : m_connection(std::move(connection))
-    , m_requestId(requestId)
-{
-}
-
-void Responder::send(Response response) const
+ServerConnection::ServerConnection(Asio::ip::tcp::socket socket, std::shared_ptr<ListenerState> listener)
+    : m_socket(std::move(socket))
+    , m_timer(m_socket.get_executor())
+    , m_listener(std::move(listener))
 {
-    if (const auto connection = m_connection.lock()) {
-        connection->respond(m_requestId, std::move(response));
+    if (m_listener->guard) {
+        m_held.emplace(m_listener->guard->budget(), BufferUse::Connection);
+        m_listener->guard->add(*this);
     }
 }
 
-void Responder::abort() const
+ServerConnection::~ServerConnection()
 {
-    if (const auto connection = m_connection.lock()) {
-        connection->abort(m_requestId);
+    if (m_listener->guard) {
+        m_listener->guard->remove(*this);
     }
 }
 
-ServerConnection::ServerConnection(Asio::ip::tcp::socket socket, std::shared_ptr<ListenerState> listener)
-    : m_socket(std::move(socket))
-    , m_timer(m_socket.get_executor())
-    , m_listener(std::move(listener))
-{
-}
-
 void ServerConnection::start()
 {
     boost::system::error_code ec;
     m_socket.set_option(Asio::ip::tcp::no_delay(true), ec);
+    m_socket.non_blocking(true, ec);
+    m_progressAt = Process::steadyNow();
+    if (!reserveConnection()) {
+        close();
+        return;
+    }
     readNextRequest();
 }
 
 void ServerConnection::readNextRequest()
 {
     m_state = State::Reading;
+    // Not eager: memory for the body is reserved between the head and the body.
     m_parser.emplace();
-    m_parser->eager(true);
     m_reservation.reset();
+    m_headMemory = 0;
+    releaseBuffer();
+    reserveConnection();
     m_waitsForMemorySince.reset();
     m_requestStarted = false;
     m_parsedBytes = 0;
     m_continueSent = false;
     if (requestBegins()) {
+        m_pipelinedSince = m_pipelinedCount == 0 ? m_transferSince : m_pipelinedSince;
+        ++m_pipelinedCount;
         parseBuffered();
         return;
     }
@@ -162,27 +136,16 @@
 {
     if (!m_requestStarted) {
         m_requestStarted = true;
+        m_transferSince = Process::steadyNow();
         m_parser->header_limit(m_listener->limits.maxHeaderBytes);
         m_parser->body_limit(m_listener->limits.maxBodyBytes);
         startTimer(m_listener->limits.headerTimeout);
     }
-    while (m_buffer.size() > 0 && !m_parser->is_done()) {
-        boost::system::error_code ec;
-        const auto n = m_parser->put(m_buffer.data(), ec);
-        m_buffer.consume(n);
-        m_parsedBytes += n;
-        if (ec == Beast::error::need_more) {
-            break;
-        }
-        if (ec) {
-            reject(reasonOf(ec));
-            return;
-        }
-        if (n == 0) {
-            break;
-        }
+    parse();
+    if (m_state != State::Reading) {
+        return;
     }
-    if (!reserveBody()) {
+    if (m_lacksMemory) {
         waitForMemory();
         return;
     }
@@ -203,41 +166,6 @@
     read();
 }
 
-bool ServerConnection::reserveBody()
-{
-    if (!m_listener->budget || !m_parser->is_header_done()) {
-        return true;
-    }
-    if (!m_reservation) {
-        m_reservation = std::make_shared<BufferReservation>(m_listener->budget, BufferUse::Request);
-    }
-    const auto length = m_parser->content_length();
-    return m_reservation->raiseTo(length ? *length : m_parser->get().body().capacity());
-}
-
-void ServerConnection::waitForMemory()
-{
-    const auto now = Process::steadyNow();
-    m_waitsForMemorySince = m_waitsForMemorySince.value_or(now);
-    const bool tooLarge = !m_listener->budget->canHold(BufferUse::Request, m_parser->content_length().value_or(0));
-    if (tooLarge || now - *m_waitsForMemorySince >= maxMemoryWait) {
-        reject(RejectReason::NoMemory);
-        return;
-    }
-    startTimer(memoryCheckInterval);
-}
-
-void ServerConnection::onMemoryCheck()
-{
-    if (!reserveBody()) {
-        waitForMemory();
-        return;
-    }
-    m_waitsForMemorySince.reset();
-    startTimer(m_listener->limits.headerTimeout);
-    parseBuffered();
-}
-
 void ServerConnection::sendContinue()
 {
     if (m_continueSent || !Text::equalsIgnoreCase(toView(m_parser->get()[Beast::field::expect]), "100-continue")) {
@@ -255,20 +183,54 @@
         return;
     }
     m_readPending = true;
-    m_socket.async_read_some(Asio::buffer(m_received), [self = shared_from_this()](const auto &ec, std::size_t n) { self->onRead(ec, n); });
+    // Waits before it reads, so that a connection without data needs no buffer.
+    m_socket.async_wait(Asio::ip::tcp::socket::wait_read, [self = shared_from_this()](const auto &ec) { self->onReadable(ec); });
 }
 
-void ServerConnection::onRead(const boost::system::error_code &ec, std::size_t n)
+void ServerConnection::onReadable(boost::system::error_code ec)
 {
     m_readPending = false;
     if (m_state == State::Closed) {
         return;
     }
+    thread_local std::array<char, readSizeBytes> received;
+    std::size_t n = 0;
+    if (!ec) {
+        const bool isPipelined = m_state == State::AwaitingResponse || m_state == State::Writing;
+        const auto most = isPipelined ? maxPipelinedBytes - std::min(maxPipelinedBytes - 1, m_buffer.size()) : received.size();
+        n = m_socket.read_some(Asio::buffer(received.data(), most), ec);
+        if (ec == Asio::error::would_block || ec == Asio::error::try_again) {
+            read();
+            return;
+        }
+    }
     if (ec) {
         onClientDisconnected();
         return;
     }
-    m_buffer.commit(Asio::buffer_copy(m_buffer.prepare(n), Asio::buffer(m_received, n)));
+    if (m_state == State::Lingering) {
+        read();
+        return;
+    }
+    if (m_state == State::Reading) {
+        m_progressAt = Process::steadyNow();
+        const bool paused = !m_requestStarted && m_progressAt - m_idleSince >= pipeliningPause;
+        m_pipelinedCount = paused ? 0 : m_pipelinedCount;
+    }
+    m_buffer.commit(Asio::buffer_copy(m_buffer.prepare(n), Asio::buffer(received, n)));
+    onReceived();
+}
+
+void ServerConnection::onReceived()
+{
+    if (!reserveConnection()) {
+        if (m_state == State::Reading && m_requestStarted) {
+            reject(RejectReason::NoMemory);
+        } else {
+            onClientDisconnected();
+        }
+        return;
+    }
     switch (m_state) {
     case State::Reading:
         if (m_requestStarted || requestBegins()) {
@@ -277,16 +239,14 @@
             read();
         }
         return;
-    case State::Lingering:
-        m_buffer.consume(m_buffer.size());
-        read();
-        return;
     case State::AwaitingResponse:
-    case State::Writing:
         if (m_buffer.size() < maxPipelinedBytes) {
             read();
         }
         return;
+    // A client that does not read its response is not read either.
+    case State::Writing:
+    case State::Lingering:
     case State::Closed:
         return;
     }
@@ -298,12 +258,17 @@
     m_state = State::AwaitingResponse;
     m_requestId = m_listener->nextRequestId++;
     ++m_listener->counters.requests;
+    if (m_reservation) {
+        trimBody(m_parser->get().body(), *m_reservation, 0);
+    }
     auto request = toRequest(m_parser->release());
     request.reservation = std::move(m_reservation);
     m_headRequest = request.method == "HEAD";
     m_keepAlive = request.keepAlive;
     // Keeps a read pending to notice a client that disconnects before its response.
-    read();
+    if (m_buffer.size() < maxPipelinedBytes) {
+        read();
+    }
     m_listener->handler.onRequest(std::move(request), Responder(weak_from_this(), m_requestId), m_requestId);
 }
 
@@ -318,12 +283,19 @@
     // Releases what was received of the body.
     m_parser.emplace();
     m_reservation.reset();
+    m_headMemory = 0;
+    m_buffer.consume(m_buffer.size());
+    releaseBuffer();
     ++m_listener->counters.rejected[static_cast<std::size_t>(reason)];
     const auto status = statusOf(reason, m_listener->limits.provisional);
     if (m_listener->handler.onReject) {
         m_listener->handler.onReject({.reason = reason, .status = status, .receivedBytes = receivedBytes});
     }
-    respond(m_requestId, {.status = status, .headers = {}, .body = {}, .keepAlive = false});
+    Headers headers;
+    if (reason == RejectReason::NoMemory) {
+        headers.push_back({"Retry-After", noMemoryRetryAfter});
+    }
+    respond(m_requestId, {.status = status, .headers = std::move(headers), .body = {}, .keepAlive = false});
 }
 
 void ServerConnection::respond(std::uint64_t requestId, Response response)
@@ -333,8 +305,11 @@
     }
     m_state = State::Writing;
     m_hasResponded = true;
+    m_transferSince = Process::steadyNow();
+    m_progressAt = m_transferSince;
     // Pipelined requests that have arrived are answered before the connection is closed.
-    m_keepAlive = m_keepAlive && response.keepAlive && (!m_listener->draining || m_buffer.size() > 0);
+    boost::system::error_code ec;
+    m_keepAlive = m_keepAlive && response.keepAlive && (!m_listener->draining || m_buffer.size() > 0 || m_socket.available(ec) > 0);
     response.keepAlive = m_keepAlive;
     if (m_keepAlive) {
         const auto seconds = static_cast<int>(m_listener->limits.idleTimeout / 1_s);
@@ -347,6 +322,12 @@
     m_responseBody = hasBody && !m_headRequest ? std::move(response.body) : std::string();
     m_responseReservation = std::move(response.reservation);
     m_passedBodyBytes = 0;
+    // The head of the request is no longer needed.
+    m_headMemory = 0;
+    if (!reserveConnection(m_responseHead.capacity() + (m_responseReservation ? 0 : m_responseBody.capacity()))) {
+        close();
+        return;
+    }
     write();
 }
 
@@ -368,7 +349,8 @@
         close();
         return;
     }
-    m_responseHead.clear();
+    m_progressAt = Process::steadyNow();
+    m_responseHead = {};
     if (m_passedBodyBytes < m_responseBody.size()) {
         write();
         return;
@@ -388,6 +370,7 @@
     boost::system::error_code ec;
     m_socket.shutdown(Asio::ip::tcp::socket::shutdown_send, ec);
     m_buffer.consume(m_buffer.size());
+    releaseBuffer();
     startTimer(lingerTimeout);
     read();
 }
@@ -445,6 +428,13 @@
     m_timer.cancel();
     boost::system::error_code ec;
     m_socket.close(ec);
+    if (m_listener->guard) {
+        m_listener->guard->remove(*this);
+    }
+    // Pending handlers may keep this object for a while.
+    m_parser.reset();
+    m_reservation.reset();
+    m_held.reset();
 }
 
 void ServerConnection::startTimer(Millis timeout)
--- a/src/http/serverconnection.h
+++ b/src/http/serverconnection.h
@@ -2,7 +2,9 @@
 #define LABURNUMMAST_HTTP_SERVERCONNECTION_H
 
 #include "core/millis.h"
+#include "http/connectionguard.h"
 #include "http/message.h"
+#include "http/rejectreason.h"
 
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
@@ -32,24 +34,6 @@
     bool provisional = false;
 };
 
-/// Why a request was rejected before it was passed to the handler.
-enum class RejectReason : std::uint8_t {
-    /// The received bytes are not a valid HTTP request.
-    Malformed,
-    HeadTooLarge,
-    BodyTooLarge,
-    /// The request was not received completely in time.
-    Incomplete,
-    /// The listener was about to close before the request had been received completely.
-    Draining,
-    /// There was no memory for the body.
-    NoMemory,
-};
-
-constexpr std::size_t rejectReasonCount = 6;
-/// Name of a reason in lower case with hyphens.
-std::string_view nameOf(RejectReason reason);
-
 /// A request that was rejected before it was passed to the handler.
 struct RejectedRequest
 {
@@ -108,6 +92,8 @@
     ServerLimits limits;
     /// Limits the memory for the bodies of requests; null for no limit.
     std::shared_ptr<BufferBudget> budget;
+    /// Limits the connections and all else that they hold; null for no limit.
+    std::shared_ptr<ConnectionGuard> guard;
     ServerCounters counters;
     std::uint64_t nextRequestId = 1;
     /// Whether each connection is closed after the responses to the requests that it has received.
@@ -119,6 +105,9 @@
 {
 public:
     ServerConnection(boost::asio::ip::tcp::socket socket, std::shared_ptr<ListenerState> listener);
+    ~ServerConnection();
+    ServerConnection(const ServerConnection &) = delete;
+    ServerConnection &operator=(const ServerConnection &) = delete;
 
     /// Starts to read requests.
     void start();
@@ -130,6 +119,9 @@
     void beginDraining();
     /// Ends a connection that has not received a complete request: rejects the request if a part of it has arrived, else closes.
     void refuseIncompleteRequest();
+    /// Ends the connection in favour of others: rejects a request that has arrived in part, else closes.
+    void evict();
+    ConnectionLoad load() const;
     void close();
     /// Whether a request, or a part of one, has arrived whose response is not sent yet.
     bool hasUnansweredRequest() const
@@ -155,13 +147,22 @@
     /// Drops empty lines before a request and returns whether a byte of the request itself is buffered.
     bool requestBegins();
     void parseBuffered();
-    /// Reserves memory for the body that is being received; returns false if there is none at present.
+    /// Passes what is buffered to the parser, as far as there is memory for the body.
+    void parse();
+    /// Reserves memory for what has arrived of the body; returns false if there is none at present.
     bool reserveBody();
+    /// Reserves memory for the head of the request, with its copies; returns false if there is none.
+    bool reserveHead();
+    /// Reserves memory for all but the bodies: this connection, what is buffered, the head and `responseBytes`.
+    bool reserveConnection(std::uint64_t responseBytes = 0);
+    /// Frees the buffer for received bytes if it is empty.
+    void releaseBuffer();
     /// Stops reading, so that the client stops sending, until there is memory for the body.
     void waitForMemory();
     void onMemoryCheck();
     void read();
-    void onRead(const boost::system::error_code &ec, std::size_t n);
+    void onReadable(boost::system::error_code ec);
+    void onReceived();
     void dispatch();
     void reject(RejectReason reason);
     void sendContinue();
@@ -178,13 +179,23 @@
     /// How often the timer was set.
     std::uint64_t m_timerCount = 0;
     std::shared_ptr<ListenerState> m_listener;
-    /// Where a pending read writes. Not part of `m_buffer`, which is parsed while a read is pending.
-    std::array<char, 16384> m_received;
+    /// Memory for all but the bodies; empty without a guard.
+    std::optional<BufferReservation> m_held;
+    /// Memory for the head of the request and its copies.
+    std::uint64_t m_headMemory = 0;
+    /// Requests that had arrived before the previous one was answered, without a pause, and when the first of them began.
+    std::uint32_t m_pipelinedCount = 0;
+    Millis m_pipelinedSince{};
+    /// Start of the transfer of the request or response, and when a part of it was transferred last, on the steady clock.
+    Millis m_transferSince{};
+    Millis m_progressAt{};
     /// Received bytes that are not parsed yet.
     boost::beast::flat_buffer m_buffer;
     std::optional<Parser> m_parser;
     /// For the body that is being received; null before its head is complete or without a budget.
     std::shared_ptr<BufferReservation> m_reservation;
+    /// Whether the parser has to wait until there is memory for the body.
+    bool m_lacksMemory = false;
     /// Since when the connection waits for memory, on the steady clock.
     std::optional<Millis> m_waitsForMemorySince;
     /// The response that is being written, and how much of its body has been passed to the socket.
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -207,6 +207,7 @@
     m_handler = std::move(handler);
     const auto ports = Text::concat(options.address.ip, ":", options.address.port);
     const auto threads = Text::concat(options.threads);
+    const auto queue = Text::concat(options.queuedConnections);
     const auto requestTimeout = Text::concat(static_cast<std::int64_t>(options.requestTimeout.count));
     const auto keepAlive = Text::concat(static_cast<std::int64_t>(options.keepAliveTimeout.count));
     const std::array<const char *, 21> settings{"listening_ports",
@@ -224,7 +225,7 @@
                                                 "listen_backlog",
                                                 "1024",
                                                 "connection_queue",
-                                                "1024",
+                                                queue.c_str(),
                                                 "decode_url",
                                                 "no",
                                                 "linger_timeout_ms",
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -102,6 +102,8 @@
     Address address;
     /// Number of worker threads, which is also the limit for connections served at the same time.
     int threads = 64;
+    /// Accepted connections that wait for a thread; more wait in the backlog of the system, without a descriptor.
+    int queuedConnections = 1024;
     /// Timeout of a single read from or write to a client.
     Millis requestTimeout{10000};
     /// How long a connection may stay open between two requests.
--- a/src/platform/settings.cpp
+++ b/src/platform/settings.cpp
@@ -151,6 +151,7 @@
     reader.number("self.limits.cpu-share", settings.cpuShare);
     reader.number("self.limits.link-mbps", settings.linkMegabits);
     reader.number("self.limits.memory-mb", settings.memoryMegabytes);
+    reader.number("self.limits.fd-limit", settings.descriptorLimit);
     settings.front = reader.address("network.listen.front");
     settings.readiness = reader.address("network.listen.ready");
     settings.directory = reader.address("network.listen.directory", false);
--- a/tests/buffers/bufferbudget.cpp
+++ b/tests/buffers/bufferbudget.cpp
@@ -77,3 +77,38 @@
     // Two of the largest bodies of requests that routes allow by default.
     CHECK(limits.requestBytes >= 2 * 60000000);
 }
+
+// Guards against connections that together take more than their share, and against bodies that leave them no room.
+TEST_CASE("Connections have a share of their own, and beyond it a quarter of the memory for bodies that no body uses")
+{
+    const auto budget = std::make_shared<BufferBudget>(
+        BufferBudgetOptions{.requestBytes = 500000, .totalBytes = 800000, .smallBodyBytes = 0, .connectionBytes = 100000});
+    BufferReservation bodies(budget, BufferUse::Answer);
+    BufferReservation connections(budget, BufferUse::Connection);
+    REQUIRE(bodies.raiseTo(800000));
+    CHECK(connections.raiseTo(100000));
+    CHECK_FALSE(connections.raiseTo(100001));
+    bodies.lowerTo(0);
+    CHECK_FALSE(connections.raiseTo(300001));
+    CHECK(connections.raiseTo(300000));
+    CHECK_FALSE(bodies.raiseTo(600001));
+    CHECK(bodies.raiseTo(600000));
+    CHECK(budget->reservedBytes() == 600000);
+    CHECK(budget->connectionBytes() == 300000);
+    connections.lowerTo(1000);
+    CHECK(budget->connectionBytes() == 1000);
+    CHECK(bodies.raiseTo(800000));
+}
+
+// Guards against shares that leave nothing for the process itself.
+TEST_CASE("All shares together leave memory for the process, and the largest body fits on every host of usual size")
+{
+    for (const std::uint64_t megabytes : {30, 60, 112, 160, 260, 512}) {
+        CAPTURE(megabytes);
+        const auto memory = megabytes * 1000000;
+        const auto limits = BufferBudgetOptions::forMemory(memory);
+        CHECK(limits.totalBytes + limits.smallBodyBytes + limits.connectionBytes <= memory - 14000000);
+        CHECK((megabytes < 112 || limits.totalBytes >= 67108864));
+        CHECK((megabytes < 160 || limits.requestBytes >= 67108864));
+    }
+}
--- a/tests/hostile/hostilesystem.h
+++ b/tests/hostile/hostilesystem.h
@@ -23,9 +23,12 @@
 namespace Laburnummast::Tests
 {
 
-/// Memory and descriptors that the daemon of a test may use. The tests check that it keeps to them.
-inline constexpr std::uint64_t memoryMegabytes = 60;
-inline constexpr std::size_t descriptorLimit = 800;
+/// What the daemon of a test may use. The tests check that it keeps to this.
+struct HostLimits
+{
+    std::uint64_t memoryMegabytes = 60;
+    std::size_t descriptors = 800;
+};
 
 /// Ports of the daemon, counted from its first one.
 enum class Port : std::uint16_t {
@@ -40,8 +43,9 @@
 class HostileSystem
 {
 public:
-    HostileSystem()
-        : m_store(m_loop)
+    explicit HostileSystem(const HostLimits &limits = {})
+        : m_limits(limits)
+        , m_store(m_loop)
         , m_upstream(m_loop, "w0")
         , m_endless(m_loop, "endless", EndlessUpstream::Framing::UntilClose)
         , m_endlessChunked(m_loop, "endless-chunked", EndlessUpstream::Framing::Chunked)
@@ -73,8 +77,8 @@
         const auto peak = m_daemon->peakResidentBytes();
         MESSAGE("resident memory at most " << peak / 1000 << " kB, descriptors at most " << m_maxDescriptors);
         CHECK(peak > 0);
-        CHECK(peak < memoryMegabytes * 1000000);
-        CHECK(m_maxDescriptors <= descriptorLimit);
+        CHECK(peak < m_limits.memoryMegabytes * 1000000);
+        CHECK(m_maxDescriptors <= m_limits.descriptors);
     }
 
     /// Runs the event loop of the fakes and of the crowds.
@@ -88,6 +92,38 @@
         }
     }
 
+    // The long limit only ends a test that would hang.
+    template <class Done>
+    bool runUntil(Done done)
+    {
+        const auto limit = std::chrono::steady_clock::now() + std::chrono::seconds(40);
+        while (std::chrono::steady_clock::now() < limit) {
+            if (done()) {
+                return true;
+            }
+            run(std::chrono::milliseconds(20));
+        }
+        return false;
+    }
+
+    Http::Response
+    get(Port port, const std::string &target, Http::Headers headers = {}, const std::string &method = "GET", const std::string &body = {})
+    {
+        std::optional<Http::ClientResult> result;
+        const auto connection = std::make_shared<Http::ClientConnection>(m_loop, endpoint(port));
+        headers.push_back({"Host", "h.example"});
+        connection->start({.bytes = Http::encode(Http::Request{.method = method, .target = target, .headers = headers, .body = body}),
+                           .timeout = 5_s,
+                           .matchesRequest = nullptr,
+                           .onResult = [&](Http::ClientResult it) { result = std::move(it); }});
+        while (!result) {
+            m_loop.restart();
+            m_loop.run_for(std::chrono::milliseconds(2));
+        }
+        connection->close();
+        return std::holds_alternative<Http::Response>(*result) ? std::get<Http::Response>(*result) : Http::Response{.status = 0};
+    }
+
     FakeUpstream &upstream()
     {
         return m_upstream;
@@ -134,9 +170,9 @@
             return Text::concat("network.listen.", name, "=127.0.0.1:", m_firstPort + static_cast<int>(port), "\n");
         };
         return Text::concat("self.node-name=host-0\nself.zone=a\nself.ip=127.0.0.1\nself.limits.link-mbps=1000\nself.limits.memory-mb=",
-                            memoryMegabytes,
+                            m_limits.memoryMegabytes,
                             "\nself.limits.fd-limit=",
-                            descriptorLimit,
+                            m_limits.descriptors,
                             "\n",
                             listen("front", Port::Front),
                             listen("ready", Port::Readiness),
@@ -155,38 +191,7 @@
         return {boost::asio::ip::make_address("127.0.0.1"), static_cast<std::uint16_t>(m_firstPort + static_cast<int>(port))};
     }
 
-    // The long limit only ends a test that would hang.
-    template <class Done>
-    bool runUntil(Done done)
-    {
-        const auto limit = std::chrono::steady_clock::now() + std::chrono::seconds(40);
-        while (std::chrono::steady_clock::now() < limit) {
-            if (done()) {
-                return true;
-            }
-            run(std::chrono::milliseconds(20));
-        }
-        return false;
-    }
-
-    Http::Response
-    get(Port port, const std::string &target, Http::Headers headers = {}, const std::string &method = "GET", const std::string &body = {})
-    {
-        std::optional<Http::ClientResult> result;
-        const auto connection = std::make_shared<Http::ClientConnection>(m_loop, endpoint(port));
-        headers.push_back({"Host", "h.example"});
-        connection->start({.bytes = Http::encode(Http::Request{.method = method, .target = target, .headers = headers, .body = body}),
-                           .timeout = 5_s,
-                           .matchesRequest = nullptr,
-                           .onResult = [&](Http::ClientResult it) { result = std::move(it); }});
-        while (!result) {
-            m_loop.restart();
-            m_loop.run_for(std::chrono::milliseconds(2));
-        }
-        connection->close();
-        return std::holds_alternative<Http::Response>(*result) ? std::get<Http::Response>(*result) : Http::Response{.status = 0};
-    }
-
+    HostLimits m_limits;
     boost::asio::io_context m_loop;
     FakeStore m_store;
     FakeUpstream m_upstream;
--- a/tests/platform/settings.cpp
+++ b/tests/platform/settings.cpp
@@ -76,3 +76,12 @@
     CHECK(bounds.configApply == 2500_ms);
     CHECK(std::holds_alternative<std::vector<SettingProblem>>(parseSettings(settings + "terms.bounds.fail-closed=yes\n")));
 }
+
+TEST_CASE("The limits of the host are read if they are there, and a limit that is no positive number is reported")
+{
+    CHECK(std::get<Entry::NodeSettings>(parseSettings(settings)).descriptorLimit == 0);
+    const auto node = std::get<Entry::NodeSettings>(parseSettings(settings + "self.limits.memory-mb=112\nself.limits.fd-limit=2870\n"));
+    CHECK(node.memoryMegabytes == 112);
+    CHECK(node.descriptorLimit == 2870);
+    CHECK(std::holds_alternative<std::vector<SettingProblem>>(parseSettings(settings + "self.limits.fd-limit=many\n")));
+}
