--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -35,7 +35,6 @@
 constexpr double probeBurstSeconds = 5;
 // Answers up to this size are accepted whatever the routes allow for requests; a longer one takes too much of the daemon's memory.
 constexpr std::uint64_t minAnswerBytesLimit = 67108864;
-constexpr double bytesPerMegabyte = 1000000;
 // Longest body of a response to a probe; what counts is in its head.
 constexpr std::uint64_t maxProbeBodyBytes = 65536;
 // Longest request body on the readiness and directory listeners.
@@ -142,8 +141,7 @@
     , m_settings(settings)
     , m_onObservations(std::move(onObservations))
     , m_view(std::make_shared<NodeView>())
-    , m_budget(std::make_shared<BufferBudget>(
-          BufferBudgetOptions::forMemory(static_cast<std::uint64_t>(std::max(0.0, settings.memoryMegabytes) * bytesPerMegabyte))))
+    , m_memory(settings)
     , m_front(loop,
               {.onRequest = [this](Http::Request request,
                                    const Http::Responder &responder,
@@ -167,7 +165,7 @@
     , m_random(XXH3_64bits(settings.host.data(), settings.host.size()))
 {
     m_front.setLimits({.provisional = true});
-    m_front.setBufferBudget(m_budget);
+    m_memory.attach({&m_front, &m_readiness, &m_directory});
 }
 
 Traffic::~Traffic() = default;
@@ -214,6 +212,7 @@
     for (const auto &it : *m_view->upstreams) {
         addresses[it.record.id] = it.record.address;
     }
+    m_memory.setUpstreamCount(addresses.size());
     m_connections.setAddresses(std::move(addresses));
     if (m_view->routes) {
         for (const auto &[name, spec] : m_view->routes->services()) {
@@ -467,7 +466,7 @@
          .body = openCall.call.body,
          .timeout = left + answerGrace,
          .maxBodyBytes = maxAnswerBytes(),
-         .budget = m_budget,
+         .budget = m_memory.budget(),
          .headRequest = openCall.call.method == "HEAD",
          .matchesRequest = [callId = openCall.call.id](const Http::Response &it) { return Platform::isResponseToCall(it, callId); },
          .onResult = onResult});
@@ -805,8 +804,9 @@
     TrafficCounters counters{.ended = m_endCounts,
                              .credentialErrors = m_credentialErrors,
                              .rejected = m_front.counters().rejected,
-                             .bufferedBytes = m_budget->reservedBytes(),
-                             .peakBufferedBytes = m_budget->peakBytes(),
+                             .bufferedBytes = m_memory.budget()->reservedBytes(),
+                             .peakBufferedBytes = m_memory.budget()->peakBytes(),
+                             .clients = m_memory.state(),
                              .connectionsOpened = connections.opened,
                              .connectionsReused = connections.reused,
                              .suppressedLogLines = m_callLog.suppressedCount(),
--- a/src/entry/traffic.h
+++ b/src/entry/traffic.h
@@ -7,6 +7,7 @@
 #include "entry/calladmission.h"
 #include "entry/callend.h"
 #include "entry/calllog.h"
+#include "entry/clientmemory.h"
 #include "entry/latencytotals.h"
 #include "entry/nodesettings.h"
 #include "entry/nodeview.h"
@@ -46,6 +47,7 @@
     /// Memory reserved for bodies of calls and answers, now and at most; not counters.
     std::uint64_t bufferedBytes = 0;
     std::uint64_t peakBufferedBytes = 0;
+    ClientMemoryState clients;
     std::uint64_t connectionsOpened = 0;
     std::uint64_t connectionsReused = 0;
     std::uint64_t suppressedLogLines = 0;
@@ -213,8 +215,7 @@
     NodeSettings m_settings;
     OnObservations m_onObservations;
     std::shared_ptr<const NodeView> m_view;
-    /// For the bodies of calls and answers.
-    std::shared_ptr<BufferBudget> m_budget;
+    ClientMemory m_memory;
     Http::Listener m_front;
     Http::Listener m_readiness;
     Http::Listener m_directory;
