--- a/src/process/wallclock.h
+++ b/src/process/wallclock.h
@@ -4,6 +4,7 @@
 #include "core/millis.h"
 
 #include <chrono>
+#include <ctime>
 
 namespace Laburnummast::Process
 {
@@ -22,6 +23,14 @@
     return {std::chrono::duration<double, std::milli>(now).count()};
 }
 
+/// Monotonic time since an unspecified start that also counts the time for which the host is suspended, unlike steadyNow().
+inline Millis bootNow()
+{
+    std::timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return {static_cast<double>(now.tv_sec) * 1e3 + static_cast<double>(now.tv_nsec) / 1e6};
+}
+
 inline std::chrono::duration<double, std::milli> toChrono(Millis span)
 {
     return std::chrono::duration<double, std::milli>(span.count);
