With fail-closed, calls with a credential need a proof that the configuration is current

A daemon that had lost the store served withdrawn credentials without limit. Where the settings ask for fail-closed and the routes in force name workspaces, the control thread now collects proofs: TopicFollower reports when a request was sent once its records are applied and reach the end of the log, and FreshnessLink asks peers over a UDP port of its own while another daemon reads. The traffic thread checks the age of the proof when a call arrives and before each attempt; a call that was not sent gets 503 with Retry-After, a retry or hedge is not sent. While stale, the daemon is not ready and leaves the entry lists; both come back with the next proof. If later routes came into force since a call was accepted, the proof of that time counts for its further attempts.

The store may hold reads of the configuration open for 0.05 of the bound only, so that a proof is younger than 0.25 of it in calm. The fake store now honours a shorter wait time than its own, as the store does.

--- a/src/core/fleet/freshness.cpp
+++ b/src/core/fleet/freshness.cpp
@@ -164,7 +164,12 @@
         return isOlder(m_seniorProvenAt, m_times.urgentAge, now);
     }
     const auto turnDelay = peersAnswer ? m_times.ownReadRankDelay * static_cast<double>(rankInDomain) : 0_ms;
-    return isOlder(m_provenAt, m_times.ownReadAge + turnDelay, now);
+    return isOlder(std::max(m_provenAt, m_waitingSince), m_times.ownReadAge + turnDelay, now);
+}
+
+bool Freshness::shouldAsk(Millis now, bool isChosen) const
+{
+    return !isChosen || isOlder(std::max(m_provenAt, m_waitingSince), m_times.urgentAge, now);
 }
 
 Millis Freshness::askInterval(Millis now) const
--- a/src/core/fleet/freshness.h
+++ b/src/core/fleet/freshness.h
@@ -110,12 +110,20 @@
     ProofResult addAnswer(const PeerProof &proof, Millis askedAt, const KnownConfiguration &known, bool readerIsSenior, Millis now);
     /// A peer reported the version that it has in force.
     void addReportedVersion(std::uint64_t version, Millis now);
+    /// Proofs are needed from now on; until there is one, its age counts from here for needsOwnRead().
+    void startWaiting(Millis now)
+    {
+        m_waitingSince = now;
+    }
     /// Answer to the query of a peer.
     PeerProof proofFor(const KnownConfiguration &known, Millis now);
 
     /// Whether this daemon should read the topic from the store itself, because peers do not provide proofs in time. `isReading`: whether
     /// it does so already. `peersAnswer`: whether peers answer queries, so that those of lower `rankInDomain` read first.
     bool needsOwnRead(Millis now, bool isReading, bool peersAnswer, std::size_t rankInDomain) const;
+    /// Whether to ask peers for proofs. `isChosen`: whether this daemon is the one that reads the topic for all; it asks only if its own
+    /// reads do not give proofs.
+    bool shouldAsk(Millis now, bool isChosen) const;
     /// Time between two queries to peers.
     Millis askInterval(Millis now) const;
     /// Number of peers to ask at once.
@@ -156,6 +164,7 @@
     FreshnessTimes m_times;
     std::string m_host;
     std::optional<Millis> m_provenAt;
+    std::optional<Millis> m_waitingSince;
     /// Latest proof from the read of a senior daemon.
     std::optional<Millis> m_seniorProvenAt;
     ProofOrigin m_origin = ProofOrigin::None;
--- a/src/core/placement/servicedispatcher.cpp
+++ b/src/core/placement/servicedispatcher.cpp
@@ -668,7 +668,7 @@
 
 bool ServiceDispatcher::mayRetry(const OpenCall &call, AttemptOutcome outcome, Millis now) const
 {
-    const bool mayRunAgain = call.spec.idempotent || !call.mayHaveRun;
+    const bool mayRunAgain = outcome != AttemptOutcome::Cancelled && (call.spec.idempotent || !call.mayHaveRun);
     if (!mayRunAgain || call.attemptsRun >= call.spec.maxAttempts || now + m_latencyModel.typicalLatency() > call.spec.deadline) {
         return false;
     }
--- a/src/entry/admin.cpp
+++ b/src/entry/admin.cpp
@@ -62,6 +62,14 @@
               "Calls rejected because of their credential.",
               prometheus::MetricType::Counter,
               std::move(credentialErrors));
+    addCounter(families,
+               "laburnummast_stale_credentials_refused_total",
+               "Calls refused because their credential may have been withdrawn.",
+               counters.staleRefusals);
+    addCounter(families,
+               "laburnummast_stale_credentials_withheld_attempts_total",
+               "Attempts that were not sent because the credential of their call may have been withdrawn.",
+               counters.withheldAttempts);
     std::vector<prometheus::ClientMetric> rejected;
     for (std::size_t i = 0; i < Http::rejectReasonCount; ++i) {
         rejected.push_back(
@@ -141,6 +149,19 @@
               "Snapshots that end before the known position.",
               prometheus::MetricType::Counter,
               std::move(staleSnapshots));
+    const auto &freshness = state.freshness;
+    if (freshness.isRequired) {
+        addFamily(families,
+                  "laburnummast_configuration_proof_age_seconds",
+                  "Age of the proof that the configuration is current; absent without one.",
+                  prometheus::MetricType::Gauge,
+                  freshness.age
+                      ? std::vector{sample(freshness.age->count / 1000, {{"origin", std::string(Fleet::nameOf(freshness.origin))}})}
+                      : std::vector<prometheus::ClientMetric>{});
+        addGauge(families, "laburnummast_configuration_stale", "Whether that proof is too old.", freshness.isStale ? 1 : 0);
+        addCounter(families, "laburnummast_proof_queries_total", "Queries for proofs to other daemons.", freshness.queriesOut);
+        addCounter(families, "laburnummast_proof_queries_answered_total", "Queries for proofs from other daemons.", freshness.queriesIn);
+    }
     addGauge(families, "laburnummast_routes_version", "Version of the routes in force.", static_cast<double>(state.routesVersion));
     addGauge(families, "laburnummast_upstreams", "Upstreams known.", static_cast<double>(state.upstreamCount));
     addGauge(families,
@@ -168,6 +189,24 @@
         families, "laburnummast_peer_datagrams_unreadable_total", "Datagrams that could not be read.", state.peers.unreadableMessages);
 }
 
+std::string proofLine(const FreshnessState &state)
+{
+    if (!state.isRequired) {
+        return {};
+    }
+    return Text::concat("proof age-ms=",
+                        state.age ? Text::concat(static_cast<std::int64_t>(state.age->count)) : std::string("none"),
+                        " origin=",
+                        Fleet::nameOf(state.origin),
+                        " reader=",
+                        state.reader,
+                        " last-result=",
+                        Fleet::nameOf(state.lastResult),
+                        " stale=",
+                        state.isStale ? "yes" : "no",
+                        "\n");
+}
+
 std::string topicLine(std::string_view name, const ControlState::TopicState &topic)
 {
     return Text::concat("topic ",
@@ -227,7 +266,7 @@
 {
     const auto control = m_node.controlState();
     auto text = Text::concat("routes-version ", control.routesVersion, "\nstore-away ", control.storeUnreachable ? "yes" : "no", "\n");
-    Text::append(text, topicLine("routes", control.topics[0]), topicLine("upstreams", control.topics[1]));
+    Text::append(text, topicLine("routes", control.topics[0]), topicLine("upstreams", control.topics[1]), proofLine(control.freshness));
     Text::append(text,
                  "members ",
                  control.servingMemberCount,
--- a/src/entry/calladmission.h
+++ b/src/entry/calladmission.h
@@ -4,9 +4,11 @@
 #include "core/workspaces/credential.h"
 #include "entry/call.h"
 #include "entry/callend.h"
+#include "entry/freshnessgate.h"
 #include "entry/nodeview.h"
 
 #include <optional>
+#include <string>
 #include <string_view>
 #include <variant>
 
@@ -20,6 +22,8 @@
     const Routes::Route *route = nullptr;
     /// Workspace whose credential the call carries; null on public routes and if there are no workspaces.
     const Workspaces::Workspace *workspace = nullptr;
+    /// Empty if no credential was needed.
+    std::optional<CredentialPermit> permit;
 };
 
 /// A call that is answered at once.
@@ -31,13 +35,18 @@
     Http::Response response;
     /// Set if the credential is the reason.
     std::optional<Workspaces::CredentialError> credentialError;
+    /// Details for the log.
+    std::string details = {};
 };
 
+/// Refusal of a call whose credential may have been withdrawn meanwhile.
+RejectedCall staleCredentials(const IncomingCall &call, const FreshnessGate &gate);
+
 /// Finds the route and the workspace of a call.
 ///
 /// Where the routes in force name workspaces, takes the credential out of `call` and sets `call.workspace`. A call is rejected for good
 /// only if no newer version of the routes is expected; otherwise it is refused as not run, so that the caller may repeat it.
-std::variant<AdmittedCall, RejectedCall> admitCall(IncomingCall &call, const NodeView &view);
+std::variant<AdmittedCall, RejectedCall> admitCall(IncomingCall &call, const NodeView &view, const FreshnessGate &gate);
 
 }
 
--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -85,6 +85,16 @@
                .currentReport = [this] { return positionReport(); },
                .recordsSince = [this](Topic topic, const Feed::LogPosition &from) { return recordsSince(topic, from); },
                .onRecords = [this](Topic topic, const Feed::FeedDelta &delta) { applyPeerRecords(topic, delta); }})
+    , m_freshness(loop,
+                  settings,
+                  m_peers.members(),
+                  {.known = [this] { return knownConfiguration(); },
+                   .onProof =
+                       [this] {
+                           // Behind a view update that is scheduled, as the proof holds for the routes of that view, and with the proof of
+                           // this moment, as a later one holds for later routes.
+                           boost::asio::post(m_loop, [this, provenAt = m_freshness.limit().provenAt] { m_events.onProof(*provenAt); });
+                       }})
     , m_timer(loop)
     , m_startedAt(Process::steadyNow())
 {
@@ -95,6 +105,9 @@
     if (auto failure = m_peers.start()) {
         return failure;
     }
+    if (auto failure = m_freshness.start()) {
+        return failure;
+    }
     startFollower(Topic::Routes, Platform::routesTopic());
     startFollower(Topic::Upstreams, Platform::upstreamsTopic());
     tick();
@@ -122,6 +135,12 @@
                     }
                     scheduleViewUpdate();
                 },
+            .onCaughtUp =
+                [this, topic](Millis requestedAt) {
+                    if (topic == Topic::Routes) {
+                        m_freshness.addRead(requestedAt);
+                    }
+                },
             .onFailure =
                 [this, topic](std::string_view reason) {
                     if (followedTopic(topic).follower->consecutiveFailures() == 1) {
@@ -218,7 +237,9 @@
     updateRanks();
     for (const auto topic : {Topic::Routes, Topic::Upstreams}) {
         auto &followed = followedTopic(topic);
-        const bool wanted = shouldRead(followed, now);
+        const bool isChosen = shouldRead(followed, now);
+        const bool wanted
+            = topic == Topic::Routes ? m_freshness.shouldRead(isChosen, followed.follower->active(), followed.rankInDomain) : isChosen;
         if (wanted != followed.follower->active()) {
             logInfo(wanted ? "store-reading" : "store-reading-ended",
                     {{"topic", std::string(nameOf(topic))},
@@ -239,6 +260,7 @@
     const auto now = Process::steadyNow();
     detectUnreachableStore(now);
     startOrEndReading(now);
+    updateFreshness();
     if (m_upstreams.applyDeferredRemovals(now)) {
         scheduleUpstreamUpdate();
     }
@@ -338,6 +360,7 @@
         return;
     }
     const auto now = Process::steadyNow();
+    m_freshness.handleReport(report);
     for (const auto topic : {Topic::Routes, Topic::Upstreams}) {
         const auto &peerPosition = report.feeds[static_cast<std::size_t>(topic)];
         auto &followed = followedTopic(topic);
@@ -478,6 +501,7 @@
              {"routes", textOf(static_cast<std::int64_t>(table.routeCount()))}});
     m_routes = std::make_shared<const Routes::RouteTable>(std::move(table));
     m_routesValue = *record.value;
+    m_freshness.setNeeded(m_routes->workspaces() != nullptr);
 }
 
 void Control::applyUpstreamRecord(const Feed::KeyedRecord &record)
@@ -520,7 +544,26 @@
 
 bool Control::ready() const
 {
-    return m_routes && followedTopic(Topic::Upstreams).feed.hasSnapshot() && !m_draining;
+    return m_routes && followedTopic(Topic::Upstreams).feed.hasSnapshot() && !m_draining && !m_freshness.isStale();
+}
+
+Fleet::KnownConfiguration Control::knownConfiguration() const
+{
+    return {.position = followedTopic(Topic::Routes).feed.position(), .version = m_routes ? m_routes->version() : 0};
+}
+
+void Control::updateFreshness()
+{
+    followedTopic(Topic::Routes).follower->setLongPollWait(m_freshness.pollWait().value_or(m_readerTimeouts.longPollWait));
+    const bool isStale = m_freshness.isStale();
+    if (isStale != m_viewedStale) {
+        m_viewedStale = isStale;
+        const auto state = m_freshness.state();
+        logInfo(isStale ? "credentials-stale" : "credentials-fresh",
+                {{"age-ms", state.age ? textOf(static_cast<std::int64_t>(state.age->count)) : "none"},
+                 {"last-result", std::string(Fleet::nameOf(state.lastResult))}});
+        scheduleViewUpdate();
+    }
 }
 
 bool Control::membersKnown() const
@@ -533,7 +576,7 @@
     const auto &followed = followedTopic(Topic::Routes);
     const bool storeReachable = followed.lastContactAt && !followed.storeUnreachable;
     return storeReachable && followed.feed.position() >= m_reportedRoutesPosition && m_routes
-        && m_routes->version() >= m_reportedRoutesVersion;
+        && m_routes->version() >= m_reportedRoutesVersion && !m_freshness.isStale();
 }
 
 void Control::scheduleViewUpdate()
@@ -582,6 +625,7 @@
     view->routesCurrent = routesCurrent();
     view->upstreamsKnown = followedTopic(Topic::Upstreams).feed.hasSnapshot();
     view->draining = m_draining;
+    view->freshness = m_freshness.limit();
     if (!m_viewedUpstreams) {
         m_viewedUpstreams = listedUpstreams();
     }
@@ -652,6 +696,7 @@
 {
     m_stopped = true;
     m_timer.cancel();
+    m_freshness.stop();
     for (const auto &it : m_topics) {
         if (it->follower) {
             it->follower->setActive(false);
@@ -682,6 +727,7 @@
     state.servingMemberCount = m_peers.members().serving().size();
     state.unreadableValues = m_unreadableValues;
     state.peers = m_peers.counters();
+    state.freshness = m_freshness.state();
     return state;
 }
 
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -7,6 +7,7 @@
 #include "core/fleet/firstread.h"
 #include "core/fleet/readerchoice.h"
 #include "core/fleet/upstreamtable.h"
+#include "entry/freshnesslink.h"
 #include "entry/nodesettings.h"
 #include "entry/nodeview.h"
 #include "entry/peerlink.h"
@@ -64,6 +65,7 @@
     /// Whether the store is unreachable for at least one topic.
     bool storeUnreachable = false;
     PeerCounters peers;
+    FreshnessState freshness;
 };
 
 /// Callbacks of Control, called on the control thread.
@@ -71,6 +73,8 @@
 {
     /// Called with the new state for the traffic thread after every change.
     std::function<void(std::shared_ptr<const NodeView>)> onViewChanged;
+    /// There is a newer proof that the configuration of the last view is current.
+    std::function<void(Millis provenAt)> onProof;
     /// Another daemon reported observations from its calls.
     std::function<void(Observations)> onPeerObservations;
 };
@@ -166,6 +170,10 @@
     void sendReport(ReportScope scope);
     Millis reportInterval(bool isReader) const;
     void tick();
+    /// Starts or ends what follows from the need for proofs, and updates the view when the proof gets too old or is recent again.
+    void updateFreshness();
+    /// Part of the configuration that is applied.
+    Fleet::KnownConfiguration knownConfiguration() const;
     /// Schedules one call of updateView() in the event loop, unless one is scheduled already.
     void scheduleViewUpdate();
     /// The same after a change of the upstreams.
@@ -199,6 +207,7 @@
     /// Record of the routes in force; after the store has returned from a copy, its own may be older.
     std::string m_routesValue;
     PeerLink m_peers;
+    FreshnessLink m_freshness;
     /// Outcomes for the next report, by upstream.
     std::map<std::string, UpstreamOutcome> m_outcomes;
     /// Limits for the next reports, by upstream, with the time since which they hold.
@@ -216,6 +225,8 @@
     bool m_startEnded = false;
     /// A member has changed since the last view.
     bool m_membersChanged = false;
+    /// Whether the last view was made without a recent proof.
+    bool m_viewedStale = false;
     /// Upstreams of the last view; null if they have changed since.
     std::shared_ptr<const std::vector<Fleet::KnownUpstream>> m_viewedUpstreams;
     std::uint64_t m_unreadableValues = 0;
--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -42,16 +42,17 @@
     m_control = std::make_unique<Control>(
         m_controlLoop,
         settings,
-        ControlEvents{.onViewChanged =
-                          [this](std::shared_ptr<const NodeView> view) {
-                              boost::asio::post(m_trafficLoop, [this, view = std::move(view)] { m_traffic->setView(view); });
-                          },
-                      .onPeerObservations =
-                          [this](Observations observations) {
-                              boost::asio::post(m_trafficLoop, [this, observations = std::move(observations)] {
-                                  m_traffic->recordPeerObservations(observations);
-                              });
-                          }});
+        ControlEvents{
+            .onViewChanged =
+                [this](std::shared_ptr<const NodeView> view) {
+                    boost::asio::post(m_trafficLoop, [this, view = std::move(view)] { m_traffic->setView(view); });
+                },
+            .onProof = [this](Millis provenAt) { boost::asio::post(m_trafficLoop, [this, provenAt] { m_traffic->setProof(provenAt); }); },
+            .onPeerObservations =
+                [this](Observations observations) {
+                    boost::asio::post(m_trafficLoop,
+                                      [this, observations = std::move(observations)] { m_traffic->recordPeerObservations(observations); });
+                }});
 }
 
 Node::~Node()
--- a/src/entry/nodeview.h
+++ b/src/entry/nodeview.h
@@ -1,6 +1,7 @@
 #ifndef LABURNUMMAST_ENTRY_NODEVIEW_H
 #define LABURNUMMAST_ENTRY_NODEVIEW_H
 
+#include "core/fleet/freshness.h"
 #include "core/fleet/upstreamtable.h"
 #include "core/limits/limitshare.h"
 #include "core/routes/routetable.h"
@@ -45,6 +46,8 @@
     std::size_t servingDaemonCount = 1;
     /// This daemon is draining.
     bool draining = false;
+    /// Whether calls with a credential may be served with these routes.
+    Fleet::FreshnessLimit freshness;
 
     /// Whether this daemon can serve calls.
     bool ready() const
--- a/src/entry/topicfollower.cpp
+++ b/src/entry/topicfollower.cpp
@@ -2,6 +2,7 @@
 
 #include "core/config/address.h"
 #include "platform/storeprotocol.h"
+#include "process/wallclock.h"
 
 #include <algorithm>
 #include <chrono>
@@ -128,9 +129,9 @@
 
 void TopicFollower::requestSnapshotPage()
 {
-    sendRequest(Platform::snapshotRequest(m_options.topic, m_lastSnapshotKey), responseTimeout, [this](const Http::Response &response) {
-        handleSnapshotPage(response);
-    });
+    sendRequest(Platform::snapshotRequest(m_options.topic, m_lastSnapshotKey),
+                responseTimeout,
+                [this, requestedAt = Process::bootNow()](const Http::Response &response) { handleSnapshotPage(response, requestedAt); });
 }
 
 void TopicFollower::discardSnapshotPages()
@@ -139,7 +140,7 @@
     m_lastSnapshotKey.clear();
 }
 
-void TopicFollower::handleSnapshotPage(const Http::Response &response)
+void TopicFollower::handleSnapshotPage(const Http::Response &response, Millis requestedAt)
 {
     auto decoded = Platform::decodeSnapshotPage(response);
     const auto era = Platform::storeEra(response);
@@ -163,6 +164,7 @@
     // The pages are read one after the other, so a key of an earlier page may have changed before the end that a later one states.
     const Feed::LogPosition pageEnd{.era = era, .offset = page.end};
     m_snapshotEnd = isFirstPage ? pageEnd : std::min(m_snapshotEnd, pageEnd);
+    m_snapshotRequestedAt = isFirstPage ? requestedAt : m_snapshotRequestedAt;
     m_lastSnapshotKey = page.lastKey;
     std::move(page.records.begin(), page.records.end(), std::back_inserter(m_snapshotRecords));
     if (page.hasMore) {
@@ -173,20 +175,25 @@
     const auto records = std::move(m_snapshotRecords);
     discardSnapshotPages();
     m_needsSnapshot = false;
-    m_counters.staleSnapshots += m_snapshotEnd < m_feed.position() ? 1 : 0;
+    const bool isStale = m_snapshotEnd < m_feed.position();
+    m_counters.staleSnapshots += isStale ? 1 : 0;
     m_events.onRecords(m_feed.applySnapshot(records, m_snapshotEnd));
+    if (!isStale) {
+        reportCaughtUp(m_snapshotRequestedAt);
+    }
     startNextRequest();
 }
 
 void TopicFollower::requestRecords()
 {
     const auto from = m_feed.position();
-    sendRequest(Platform::logReadRequest(m_options.topic, from.offset, m_options.longPollWait),
-                m_options.longPollWait + responseTimeout,
-                [this, from](const Http::Response &response) { handleRecords(response, from); });
+    sendRequest(
+        Platform::logReadRequest(m_options.topic, from.offset, m_options.longPollWait),
+        m_options.longPollWait + responseTimeout,
+        [this, from, requestedAt = Process::bootNow()](const Http::Response &response) { handleRecords(response, from, requestedAt); });
 }
 
-void TopicFollower::handleRecords(const Http::Response &response, const Feed::LogPosition &from)
+void TopicFollower::handleRecords(const Http::Response &response, const Feed::LogPosition &from, Millis requestedAt)
 {
     auto decoded = Platform::decodeLogRecords(response, from.offset);
     if (const auto *error = std::get_if<Platform::StoreError>(&decoded)) {
@@ -217,12 +224,24 @@
     m_counters.unreadableRecords += log.unreadableCount;
     if (log.nextOffset > from.offset) {
         m_events.onRecords(m_feed.apply(log.records, {.era = era, .offset = log.nextOffset}));
+    }
+    if (log.nextOffset == log.end) {
+        reportCaughtUp(requestedAt);
+    }
+    if (log.nextOffset > from.offset) {
         startNextRequestAfter(batchDelay);
     } else {
         startNextRequest();
     }
 }
 
+void TopicFollower::reportCaughtUp(Millis requestedAt)
+{
+    if (m_events.onCaughtUp) {
+        m_events.onCaughtUp(requestedAt);
+    }
+}
+
 void TopicFollower::handleLostPosition()
 {
     m_needsSnapshot = true;
--- a/src/entry/topicfollower.h
+++ b/src/entry/topicfollower.h
@@ -60,6 +60,9 @@
         std::function<void()> onContact;
         /// Records were applied; `records` is the number of new ones and may be 0.
         std::function<void(std::size_t records)> onRecords;
+        /// All records that the store had confirmed when a request was sent, at `requestedAt` on the clock that also counts suspensions,
+        /// are applied. May be empty.
+        std::function<void(Millis requestedAt)> onCaughtUp;
         /// A request failed and will be repeated.
         std::function<void(std::string_view reason)> onFailure;
         /// The offsets of the store belong to a later era than before.
@@ -79,6 +82,11 @@
     {
         return m_active;
     }
+    /// Changes the longest time that the store holds a read open, from the next request on.
+    void setLongPollWait(Millis wait)
+    {
+        m_options.longPollWait = wait;
+    }
     /// Failed requests since the last successful one.
     int consecutiveFailures() const
     {
@@ -98,8 +106,9 @@
     /// Notes the era of a response; a later one than that of the feed makes a new snapshot necessary.
     void handleEra(std::int64_t era);
     void discardSnapshotPages();
-    void handleSnapshotPage(const Http::Response &response);
-    void handleRecords(const Http::Response &response, const Feed::LogPosition &from);
+    void handleSnapshotPage(const Http::Response &response, Millis requestedAt);
+    void handleRecords(const Http::Response &response, const Feed::LogPosition &from, Millis requestedAt);
+    void reportCaughtUp(Millis requestedAt);
     void handleFailure(std::string_view reason);
     /// Takes a new snapshot because the position is lost: at once the first time, then with backoff.
     void handleLostPosition();
@@ -130,6 +139,8 @@
     std::int64_t m_storeEra = 0;
     /// Era of these pages, and the smallest end that one of them states.
     Feed::LogPosition m_snapshotEnd;
+    /// When the first of these pages was requested.
+    Millis m_snapshotRequestedAt{};
     TopicFollowerCounters m_counters;
 };
 
--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -196,6 +196,7 @@
 {
     const bool sameUpstreams = m_view->upstreams == view->upstreams && m_view->routes == view->routes;
     m_view = std::move(view);
+    m_freshness.setView(m_view->freshness, m_view->routes ? m_view->routes->version() : 0);
     if (!sameUpstreams) {
         applyRoutesAndUpstreams();
     }
@@ -305,12 +306,12 @@
         return;
     }
     auto &call = std::get<IncomingCall>(decoded);
-    auto admission = admitCall(call, *m_view);
+    auto admission = admitCall(call, *m_view, m_freshness);
     if (auto *rejection = std::get_if<RejectedCall>(&admission)) {
         rejectCall(call, std::move(*rejection), responder);
         return;
     }
-    const auto [route, workspace] = std::get<AdmittedCall>(admission);
+    const auto [route, workspace, permit] = std::get<AdmittedCall>(admission);
     const auto callerTimeout = call.callerTimeout.value_or(route->timeout);
     const auto elapsed = m_returningCallers.elapsedBefore(Text::concat(route->name, "@", m_view->routes->version()), callerTimeout);
     OpenCall openCall{.spec = {.id = id,
@@ -325,7 +326,8 @@
                       .route = route->name,
                       .routesVersion = m_view->routes->version(),
                       .responder = responder,
-                      .arrived = now};
+                      .arrived = now,
+                      .permit = permit};
     openCall.call = std::move(call);
     auto &service = *openCall.service;
     const auto spec = openCall.spec;
@@ -341,10 +343,12 @@
     if (rejection.credentialError) {
         ++m_credentialErrors[static_cast<std::size_t>(*rejection.credentialError)];
     }
+    m_staleRefusals += rejection.reason == "stale-credentials" ? 1 : 0;
     m_callLog.write("call-rejected",
                     steadyNow(),
                     {{"id", call.id},
                      {"reason", std::string(rejection.reason)},
+                     {"why", rejection.details},
                      {"host", call.host},
                      {"version", Text::concat(m_view->routes ? m_view->routes->version() : 0)}});
     responder.send(std::move(rejection.response));
@@ -437,6 +441,10 @@
         return;
     }
     auto &openCall = found->second;
+    if (!m_freshness.permits(openCall.permit)) {
+        withholdAttempt(service, action);
+        return;
+    }
     const auto *view = service.dispatcher.view(action.upstream);
     const auto id = view->spec().id;
     auto &attempt = openCall.attempts[action.attempt];
@@ -474,6 +482,20 @@
          .onResult = onResult});
 }
 
+void Traffic::withholdAttempt(Service &service, const Dispatch::SendAttempt &action)
+{
+    ++m_withheldAttempts;
+    // Later, because the dispatcher may still be passing on actions of this call.
+    boost::asio::post(m_loop, [this, &service, action] {
+        if (const auto found = m_calls.find(action.call); found != m_calls.end()) {
+            found->second.isStale = true;
+            Dispatch::Actions actions;
+            service.dispatcher.attemptEnded(action.call, action.attempt, AttemptOutcome::Cancelled, std::nullopt, steadyNow(), actions);
+            execute(service, actions);
+        }
+    });
+}
+
 void Traffic::learnFromAnswer(Service &service, const SentRequest &sent, const Http::Response &response)
 {
     learnLimit(service, sent, response);
@@ -581,6 +603,14 @@
     if (found == m_calls.end()) {
         return;
     }
+    if (found->second.isStale) {
+        auto rejection = staleCredentials(found->second.call, m_freshness);
+        ++m_staleRefusals;
+        found->second.lastError = rejection.reason;
+        found->second.refusalDetails = std::move(rejection.details);
+        endCall(found, rejection.end, std::move(rejection.response));
+        return;
+    }
     found->second.lastError = Dispatch::nameOf(action.reason);
     found->second.refusalDetails = describeDispatcher(found->second.service->dispatcher, steadyNow());
     endCall(found, CallEnd::NotRun, Platform::notRunResponse(found->second.call.id, action.retryAfter));
@@ -703,7 +733,7 @@
         responder.send({.status = 404, .headers = {}, .body = {}});
         return;
     }
-    responder.send(Platform::readinessResponse(m_view->ready()));
+    responder.send(Platform::readinessResponse(m_view->ready() && m_freshness.isFresh()));
 }
 
 void Traffic::recordPeerObservations(const Observations &observations)
@@ -805,6 +835,8 @@
     const auto connections = m_connections.counters();
     TrafficCounters counters{.ended = m_endCounts,
                              .credentialErrors = m_credentialErrors,
+                             .staleRefusals = m_staleRefusals,
+                             .withheldAttempts = m_withheldAttempts,
                              .rejected = m_front.counters().rejected,
                              .bufferedBytes = m_budget->reservedBytes(),
                              .peakBufferedBytes = m_budget->peakBytes(),
--- a/src/entry/traffic.h
+++ b/src/entry/traffic.h
@@ -40,6 +40,9 @@
     std::array<std::uint64_t, callEndCount> ended{};
     /// Calls rejected because of their credential, indexed by `Workspaces::CredentialError`.
     std::array<std::uint64_t, Workspaces::credentialErrorCount> credentialErrors{};
+    /// Calls refused because their credential may have been withdrawn, and attempts of others that were not sent for that reason.
+    std::uint64_t staleRefusals = 0;
+    std::uint64_t withheldAttempts = 0;
     /// Requests of callers that were rejected before they were decoded, indexed by `Http::RejectReason`.
     std::array<std::uint64_t, Http::rejectReasonCount> rejected{};
     /// Memory reserved for bodies of calls and answers, now and at most; not counters.
@@ -77,6 +80,11 @@
     std::optional<Address> start();
     /// Applies new routes, upstreams and daemons; calls in flight continue.
     void setView(std::shared_ptr<const NodeView> view);
+    /// Applies a proof that the routes of the present view were current at `provenAt`.
+    void setProof(Millis provenAt)
+    {
+        m_freshness.setProof(provenAt);
+    }
     /// Applies new limits for retries, probes and entry lists.
     void setBounds(const NodeBounds &bounds);
     /// Records observations that another daemon reported.
@@ -169,6 +177,10 @@
         std::string lastError;
         /// Values on which a refusal was based, for the log.
         std::string refusalDetails;
+        /// Empty if no credential was needed.
+        std::optional<CredentialPermit> permit;
+        /// An attempt was not sent because the credential may have been withdrawn.
+        bool isStale = false;
         int attemptCount = 0;
     };
 
@@ -190,6 +202,8 @@
     void execute(Service &service, const Dispatch::Actions &actions);
     void armTimer(Service &service);
     void sendAttempt(Service &service, const Dispatch::SendAttempt &action);
+    /// Ends an attempt that is not sent because the credential of its call may have been withdrawn.
+    void withholdAttempt(Service &service, const Dispatch::SendAttempt &action);
     void sendProbe(Service &service, const Dispatch::ProbeUpstream &action);
     void refuse(const Dispatch::RefuseCall &action);
     void finish(const Dispatch::FinishCall &action);
@@ -231,6 +245,9 @@
     mutable std::mt19937_64 m_random;
     std::array<std::uint64_t, callEndCount> m_endCounts{};
     std::array<std::uint64_t, Workspaces::credentialErrorCount> m_credentialErrors{};
+    FreshnessGate m_freshness;
+    std::uint64_t m_staleRefusals = 0;
+    std::uint64_t m_withheldAttempts = 0;
     std::uint64_t m_unreadableLimits = 0;
     std::uint64_t m_unreadablePauses = 0;
 };
--- a/tests/fleet/freshnessmodel.h
+++ b/tests/fleet/freshnessmodel.h
@@ -121,6 +121,7 @@
         Line store = Line::Up;
         /// Since when the daemon runs and reaches the store without a fault.
         Millis pathSince{};
+        Millis startedAt{};
         /// Until when it must serve, because contact was lost a short time ago.
         Millis guardedUntil{};
     };
@@ -236,6 +237,7 @@
         const auto lost = std::min<std::size_t>(m_log.size() - 1, std::uniform_int_distribution<std::size_t>(1, 3)(m_random));
         m_log.resize(m_log.size() - lost);
         ++m_era;
+        m_restoredAt = m_now;
         m_restoring = true;
         for (const auto &it : std::exchange(m_heldReads, {})) {
             failRead(it);
@@ -322,6 +324,7 @@
         daemon.suspendedTotal = suspendedTotal;
         daemon.readerReportAt.fill(Millis{-1e9});
         daemon.pathSince = m_now;
+        daemon.startedAt = m_now;
         daemon.freshness = std::make_unique<Fleet::Freshness>(m_times, std::to_string(i));
         atDaemon(i, run, m_now + Millis{uniform(0, 50)}, [this, i] { tick(i); });
         atDaemon(i, run, m_now + Millis{uniform(0, 300)}, [this, i] { report(i); });
@@ -348,7 +351,7 @@
         if (daemon.isReading && daemon.read == 0 && m_now >= daemon.nextReadAt) {
             startRead(i);
         }
-        if (i != 0 && m_now - daemon.lastAskAt >= daemon.freshness->askInterval(clock)) {
+        if (daemon.freshness->shouldAsk(clock, i == 0) && m_now - daemon.lastAskAt >= daemon.freshness->askInterval(clock)) {
             ask(i);
         }
         atDaemon(i, daemon.run, m_now + 50_ms, [this, i] { tick(i); });
@@ -480,8 +483,7 @@
         auto &daemon = m_daemons[i];
         const auto clock = clockOf(daemon);
         const Fleet::FreshnessLimit limit{.isRequired = true, .provenAt = daemon.freshness->provenAt(), .serveFor = m_times.serveFor};
-        const bool mustServe
-            = m_now < daemon.guardedUntil || (hasPath(daemon) && m_now - std::max(daemon.pathSince, daemon.pausedUntil) > recoveryTime);
+        const bool mustServe = m_now < daemon.guardedUntil || hasLongPath(daemon) || hasLongPathThroughPeer(i);
         if (limit.permits(clock)) {
             ++m_outcome.servedCalls;
             m_outcome.oldestServedAge = std::max(m_outcome.oldestServedAge, clock - *limit.provenAt);
@@ -507,6 +509,30 @@
         return m_storeUp && daemon.store == Line::Up && m_now >= daemon.pausedUntil;
     }
 
+    bool hasLongPath(const Daemon &daemon) const
+    {
+        return hasPath(daemon) && m_now - std::max(daemon.pathSince, daemon.pausedUntil) > recoveryTime;
+    }
+
+    /// Whether the daemon has reached one peer for some time that has had a path to the store even longer.
+    bool hasLongPathThroughPeer(std::size_t i) const
+    {
+        const auto &daemon = m_daemons[i];
+        const auto since = std::max({daemon.startedAt, daemon.pausedUntil, m_restoredAt + 1500_ms});
+        if (m_now - since <= recoveryTime) {
+            return false;
+        }
+        for (std::size_t k = 0; k < daemonCount; ++k) {
+            const auto &peer = m_daemons[k];
+            const bool isConnected = lineBetween(i, k) == Line::Up && lineBetween(k, i) == Line::Up
+                && m_now - std::max(m_lineSince[i][k], m_lineSince[k][i]) > recoveryTime;
+            if (k != i && isConnected && hasLongPath(peer)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     bool isCalm() const
     {
         return m_activeFaults == 0 && m_now - m_lastFaultChange > recoveryTime && m_now > 5000_ms;
@@ -564,10 +590,17 @@
         m_daemons[i].store = line;
     }
 
+    void setLine(std::size_t from, std::size_t to, Line line)
+    {
+        m_lines[from][to] = line;
+        m_lineSince[from][to] = m_now;
+    }
+
     void setPeerLines(std::size_t i, Line line)
     {
         for (std::size_t k = 0; k < daemonCount; ++k) {
-            m_lines[i][k] = m_lines[k][i] = line;
+            setLine(i, k, line);
+            setLine(k, i, line);
         }
     }
 
@@ -589,7 +622,7 @@
         for (std::size_t a = 0; a < daemonCount; ++a) {
             for (std::size_t b = 0; b < daemonCount; ++b) {
                 if (a % 2 != b % 2) {
-                    m_lines[a][b] = line;
+                    setLine(a, b, line);
                 }
             }
             if (storeToo && a % 2 == 0) {
@@ -700,6 +733,9 @@
     bool m_restoring = false;
     std::array<Daemon, daemonCount> m_daemons;
     std::array<std::array<Line, daemonCount>, daemonCount> m_lines{};
+    /// Times of the last changes of the lines.
+    std::array<std::array<Millis, daemonCount>, daemonCount> m_lineSince{};
+    Millis m_restoredAt{-1e9};
     int m_activeFaults = 0;
     Millis m_lastFaultChange{};
     FreshnessOutcome m_outcome;
--- a/tests/placement/servicedispatcher.cpp
+++ b/tests/placement/servicedispatcher.cpp
@@ -53,6 +53,23 @@
     CHECK(fixture.dispatcher.openCalls() == 0);
 }
 
+// Guards against retries of a call whose credential may have been withdrawn since it was accepted.
+TEST_CASE("A call whose attempt the driver withholds is refused as not run and not retried")
+{
+    DispatcherFixture fixture(8);
+    fixture.submit(1, true);
+    fixture.advanceTime(100_ms, idleLoad);
+    const auto sent = fixture.take<Dispatch::SendAttempt>();
+    REQUIRE_FALSE(sent.empty());
+    for (const auto &it : sent) {
+        CHECK(fixture.take<Dispatch::RefuseCall>().empty());
+        fixture.dispatcher.attemptEnded(1, it.attempt, AttemptOutcome::Cancelled, std::nullopt, fixture.now, fixture.actions);
+    }
+    CHECK(fixture.take<Dispatch::RefuseCall>().size() == 1);
+    CHECK(fixture.take<Dispatch::SendAttempt>().empty());
+    CHECK(fixture.dispatcher.openCalls() == 0);
+}
+
 TEST_CASE("A call without any upstream is refused at once")
 {
     DispatcherFixture fixture(0);
--- a/tests/platform/fakestore.h
+++ b/tests/platform/fakestore.h
@@ -4,6 +4,7 @@
 #include "core/text.h"
 #include "http/listener.h"
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
@@ -118,6 +119,9 @@
     }
 
 private:
+    /// Longest time that a read is held open, in milliseconds, also if its request states a longer one.
+    static constexpr std::int64_t longestWait = 300;
+
     /// A read of records that do not exist yet.
     struct WaitingRead
     {
@@ -160,7 +164,8 @@
             sendSnapshotPage(topic, Http::queryParameter(target, "after").value_or(""), responder);
         } else if (Http::pathOf(target) == "/laburnummast/log-read") {
             const auto from = static_cast<std::size_t>(Text::parseInteger(Http::queryParameter(target, "from").value_or("")).value_or(0));
-            handleRead(topic, from, responder);
+            const auto wait = Text::parseInteger(Http::queryParameter(target, "wait-ms").value_or("")).value_or(longestWait);
+            handleRead(topic, from, std::chrono::milliseconds(std::min(wait, longestWait)), responder);
         } else {
             send(responder, 404, {});
         }
@@ -198,7 +203,7 @@
         }
     }
 
-    void handleRead(const std::string &topic, std::size_t from, const Http::Responder &responder)
+    void handleRead(const std::string &topic, std::size_t from, std::chrono::milliseconds wait, const Http::Responder &responder)
     {
         auto &state = m_topics[topic];
         if (from < state.firstOffset || from > state.log.size()) {
@@ -209,8 +214,7 @@
             send(responder, 200, logBody(topic, from));
             return;
         }
-        // Waits this long, whatever wait time the request states.
-        auto timer = std::make_shared<boost::asio::steady_timer>(m_loop, std::chrono::milliseconds(300));
+        auto timer = std::make_shared<boost::asio::steady_timer>(m_loop, wait);
         m_waitingReads.push_back({.topic = topic, .from = from, .responder = responder, .timer = timer});
         timer->async_wait([this, topic, from, responder, timer](const auto &ec) {
             if (!ec) {
