A daemon that answered before it knew any record waits for no settle time

A daemon noted era 0 when it answered a query before it knew any record, and took the first real era for a restored store, so it proved nothing for two seconds. Eras now count from the first known record on; a store whose era rises from 0 to 1 afterwards still counts as restored.

Adds the cases that were missing: a call that waits while its proof gets too old is refused and never sent (with the whole traffic thread), and a daemon that should read the configuration for all but cannot reach the store stays fresh through its peer.

--- a/src/core/fleet/freshness.cpp
+++ b/src/core/fleet/freshness.cpp
@@ -56,14 +56,15 @@
 {
 }
 
-void Freshness::noteEra(std::int64_t era, Millis now)
+void Freshness::noteEra(const Feed::LogPosition &position, Millis now)
 {
-    if (m_era && era <= *m_era) {
+    const bool isKnown = position != Feed::LogPosition{};
+    if (!isKnown || (m_era && position.era <= *m_era)) {
         return;
     }
-    // A daemon that has just started cannot tell when the store was restored.
-    const bool mayBeRecent = m_era || era > firstEra;
-    m_era = era;
+    // A daemon that has just started cannot tell when the store was restored, unless it never was.
+    const bool mayBeRecent = m_era || position.era > firstEra;
+    m_era = position.era;
     if (mayBeRecent) {
         m_settledAt = now + m_times.settleTime;
     }
@@ -86,7 +87,7 @@
 
 ProofResult Freshness::addRead(Millis requestedAt, const KnownConfiguration &known, Millis now)
 {
-    noteEra(known.position.era, now);
+    noteEra(known.position, now);
     m_lastResult = accept(requestedAt, known, now);
     if (m_lastResult == ProofResult::Accepted) {
         m_origin = ProofOrigin::OwnRead;
@@ -97,7 +98,7 @@
 
 ProofResult Freshness::addAnswer(const PeerProof &proof, Millis askedAt, const KnownConfiguration &known, bool readerIsSenior, Millis now)
 {
-    noteEra(known.position.era, now);
+    noteEra(known.position, now);
     const auto judge = [&] {
         if (!proof.age || *proof.age < 0_ms) {
             return ProofResult::NoProof;
@@ -143,7 +144,7 @@
 
 PeerProof Freshness::proofFor(const KnownConfiguration &known, Millis now)
 {
-    noteEra(known.position.era, now);
+    noteEra(known.position, now);
     PeerProof proof{.known = known, .age = std::nullopt, .isSettled = false, .reader = m_reader};
     if (m_provenAt) {
         proof.age = now - *m_provenAt;
--- a/src/core/fleet/freshness.h
+++ b/src/core/fleet/freshness.h
@@ -155,8 +155,8 @@
     }
 
 private:
-    /// Starts the settle time if the era has risen.
-    void noteEra(std::int64_t era, Millis now);
+    /// Starts the settle time if the era of the known records has risen.
+    void noteEra(const Feed::LogPosition &position, Millis now);
     ProofResult accept(Millis provenAt, const KnownConfiguration &known, Millis now);
     /// Whether the proof is older than `age` or missing.
     static bool isOlder(const std::optional<Millis> &provenAt, Millis age, Millis now);
@@ -171,6 +171,7 @@
     std::string m_reader;
     ProofResult m_lastResult = ProofResult::NoProof;
     std::size_t m_uselessQueries = 0;
+    /// Latest era at which this daemon knew a record; empty before there is one.
     std::optional<std::int64_t> m_era;
     /// Proofs of earlier times are rejected.
     std::optional<Millis> m_settledAt;
--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -1,6 +1,7 @@
 #include "entry/traffic.h"
 
 #include "core/text.h"
+#include "entry/attemptoutcome.h"
 #include "platform/directory.h"
 #include "platform/requests.h"
 #include "process/wallclock.h"
@@ -87,40 +88,6 @@
                         dispatcher.unavailableUpstreams(now));
 }
 
-AttemptOutcome outcomeOf(Http::ClientError error)
-{
-    switch (error) {
-    case Http::ClientError::CannotConnect:
-        return AttemptOutcome::NotSent;
-    case Http::ClientError::TimedOut:
-        return AttemptOutcome::TimedOut;
-    case Http::ClientError::Cancelled:
-        return AttemptOutcome::Cancelled;
-    case Http::ClientError::ConnectionLost:
-    case Http::ClientError::Malformed:
-    case Http::ClientError::TooLarge:
-        return AttemptOutcome::Incomplete;
-    }
-    return AttemptOutcome::Incomplete;
-}
-
-AttemptOutcome outcomeOf(AnswerKind kind)
-{
-    switch (kind) {
-    case AnswerKind::Success:
-        return AttemptOutcome::Answered;
-    case AnswerKind::Failure:
-        return AttemptOutcome::Failed;
-    case AnswerKind::NotRun:
-        return AttemptOutcome::Shed;
-    case AnswerKind::WrongInstance:
-        return AttemptOutcome::NotSent;
-    case AnswerKind::Unusable:
-        return AttemptOutcome::Incomplete;
-    }
-    return AttemptOutcome::Incomplete;
-}
-
 }
 
 std::string_view nameOf(CallError error)
--- a/tests/entry/freshness.cpp
+++ b/tests/entry/freshness.cpp
@@ -1,6 +1,8 @@
 #include "entry/freshnessgate.h"
 #include "entry/freshnessmessage.h"
+#include "entry/traffic.h"
 #include "nodesystem.h"
+#include "platform/records.h"
 #include "process/wallclock.h"
 
 #include <doctest/doctest.h>
@@ -13,6 +15,8 @@
 namespace
 {
 
+using Tcp = boost::asio::ip::tcp;
+
 std::string keyedRoutes(int version, const std::string &keys)
 {
     auto json = routesJson(version, "s");
@@ -88,34 +92,39 @@
 // Guards against a daemon that stops serving although a peer of it reads the store, and against proofs that it takes without any.
 TEST_CASE("A daemon that cannot reach the store stays ready through its peer, and only as long as that one reads the store")
 {
-    System system(1);
-    system.publishAll();
-    system.store().put(routesTopic, "config", keyedRoutes(2, R"("n1")"));
-    system.startNode(failClosedSettings(system, 0));
-    auto cutOff = failClosedSettings(system, 1);
-    // Nothing listens there.
-    cutOff.store.port = 1;
-    system.startNode(cutOff);
-    REQUIRE(system.ready(0));
-    REQUIRE(system.ready(1));
-    const auto end = Process::steadyNow() + 4_s;
-    int refused = 0;
-    while (Process::steadyNow() < end) {
-        refused += callWithKey(system, 1, "/r/x").status == 200 ? 0 : 1;
-        runFor(system, std::chrono::milliseconds(20));
+    // Either of them is the one that should read the configuration for both.
+    for (const int cutOff : {0, 1}) {
+        CAPTURE(cutOff);
+        System system(1);
+        system.publishAll();
+        system.store().put(routesTopic, "config", keyedRoutes(2, R"("n1")"));
+        for (const int n : {0, 1}) {
+            auto settings = failClosedSettings(system, n);
+            // Nothing listens at the other port.
+            settings.store.port = n == cutOff ? 1 : settings.store.port;
+            system.startNode(settings);
+        }
+        REQUIRE(system.ready(0));
+        REQUIRE(system.ready(1));
+        const auto end = Process::steadyNow() + 4_s;
+        int refused = 0;
+        while (Process::steadyNow() < end) {
+            refused += callWithKey(system, cutOff, "/r/x").status == 200 ? 0 : 1;
+            runFor(system, std::chrono::milliseconds(20));
+        }
+        CHECK(refused == 0);
+        const auto state = system.node(static_cast<std::size_t>(cutOff)).controlState().freshness;
+        CHECK(state.origin == Fleet::ProofOrigin::Peer);
+        CHECK(state.reader == "host-" + std::to_string(1 - cutOff));
+        CHECK(state.queriesOut > 5);
+        system.store().setMode(FakeStore::Mode::Unresponsive);
+        CHECK(system.runUntil([&] { return callWithKey(system, cutOff, "/r/x").status == 503; }));
+        CHECK(system.runUntil([&] { return readiness(system, cutOff) == 503; }));
+        system.store().setMode(FakeStore::Mode::Normal);
+        CHECK(system.ready(cutOff));
+        system.store().put(routesTopic, "config", keyedRoutes(3, R"("n2")"));
+        CHECK(system.runUntil([&] { return callWithKey(system, cutOff, "/r/x").status == 401; }));
     }
-    CHECK(refused == 0);
-    const auto state = system.node(1).controlState().freshness;
-    CHECK(state.origin == Fleet::ProofOrigin::Peer);
-    CHECK(state.reader == "host-0");
-    CHECK(state.queriesOut > 5);
-    system.store().setMode(FakeStore::Mode::Unresponsive);
-    CHECK(system.runUntil([&] { return callWithKey(system, 1, "/r/x").status == 503; }));
-    CHECK(system.runUntil([&] { return readiness(system, 1) == 503; }));
-    system.store().setMode(FakeStore::Mode::Normal);
-    CHECK(system.ready(1));
-    system.store().put(routesTopic, "config", keyedRoutes(3, R"("n2")"));
-    CHECK(system.runUntil([&] { return callWithKey(system, 1, "/r/x").status == 401; }));
 }
 
 // Guards against a change for deployments that do not ask for this.
@@ -170,6 +179,58 @@
     CHECK(gate.permits(std::nullopt));
 }
 
+// Guards against calls that were accepted in time, waited, and are sent with a credential that may have been withdrawn meanwhile.
+TEST_CASE("A call whose proof gets too old before it is sent is refused as not run")
+{
+    System system(1);
+    Entry::Traffic traffic(system.loop(), system.settingsOf(0), [](const Entry::Observations &) {});
+    REQUIRE_FALSE(traffic.start().has_value());
+    const auto routes = Platform::decodeRoutes(keyedRoutes(2, R"("n1")"));
+    const auto &upstream = *system.upstreams[0];
+    const auto record = Platform::decodeUpstream(upstream.id(), upstream.registrationRecord("s"));
+    NodeView fresh;
+    fresh.routes = std::make_shared<const Routes::RouteTable>(std::get<Routes::RouteTable>(routes));
+    fresh.upstreamsKnown = true;
+    const std::vector<Fleet::KnownUpstream> upstreams{{.record = std::get<Fleet::UpstreamRecord>(record)}};
+    fresh.upstreams = std::make_shared<const std::vector<Fleet::KnownUpstream>>(upstreams);
+    fresh.freshness = {.isRequired = true, .provenAt = Process::bootNow(), .serveFor = 3600_s};
+    auto stale = fresh;
+    stale.freshness.serveFor = 0_ms;
+    traffic.setView(std::make_shared<NodeView>(fresh));
+    std::optional<Http::ClientResult> result;
+    const auto front = system.settingsOf(0).front;
+    const auto caller
+        = std::make_shared<Http::ClientConnection>(system.loop(), Tcp::endpoint(boost::asio::ip::make_address(front.ip), front.port));
+    caller->start({.bytes = Http::encode(Http::Request{.method = "GET",
+                                                       .target = "/r/x",
+                                                       .headers = {{"Host", "h.example"},
+                                                                   {"Laburnummast-Request-Id", "waits"},
+                                                                   {"Laburnummast-Deadline-Milliseconds", "800"},
+                                                                   {"Authorization", "Token n1"}},
+                                                       .body = {}}),
+                   .timeout = 20_s,
+                   .matchesRequest = nullptr,
+                   .onResult = [&](Http::ClientResult it) { result = std::move(it); }});
+    // The call is submitted with the request, and sent only after a probe has been answered.
+    while (traffic.counters().placement.calls == 0) {
+        system.loop().restart();
+        system.loop().run_one();
+    }
+    traffic.setView(std::make_shared<NodeView>(stale));
+    CHECK(system.runUntil([&] { return result.has_value(); }));
+    const auto *response = std::get_if<Http::Response>(&*result);
+    REQUIRE(response);
+    CHECK(response->status == 503);
+    CHECK(Http::find(response->headers, "Retry-After"));
+    CHECK(system.executedCalls() == 0);
+    CHECK(traffic.counters().withheldAttempts == 1);
+    CHECK(traffic.counters().staleRefusals == 1);
+    traffic.setView(std::make_shared<NodeView>(fresh));
+    CHECK(callWithKey(system, 0, "/r/x").status == 200);
+    caller->close();
+    traffic.stop();
+}
+
 TEST_CASE("Queries and answers are decoded as they were encoded, and changed or shortened ones do no harm")
 {
     using namespace Laburnummast::Entry;
--- a/tests/fleet/freshness.cpp
+++ b/tests/fleet/freshness.cpp
@@ -130,6 +130,13 @@
     }
 }
 
+TEST_CASE("A daemon that has asked and answered before it knows any record takes proofs at once in a store that was never restored")
+{
+    Freshness freshness(freshnessTimes(revocation), "a");
+    CHECK_FALSE(freshness.proofFor(known(0, 0, 0), 900_ms).age.has_value());
+    CHECK(freshness.addRead(1000_ms, known(1, 5, 2), 1001_ms) == ProofResult::Accepted);
+}
+
 TEST_CASE("A daemon that starts in a fleet takes proofs of peers that have known the era for longer")
 {
     Freshness peer(freshnessTimes(revocation), "b");
