--- a/src/core/retry/tokenbucket.h
+++ b/src/core/retry/tokenbucket.h
@@ -37,6 +37,20 @@
         return m_burst > 0 ? m_tokens / m_burst : 0;
     }
 
+    /// Tokens that can be taken.
+    double available(Millis now)
+    {
+        refill(now);
+        return m_tokens;
+    }
+
+    /// Time until `amount` tokens, at most the burst, can be taken; 0 if they can be taken now. The rate must be greater than 0.
+    Millis timeUntil(double amount, Millis now)
+    {
+        refill(now);
+        return 1_s * (std::max(0.0, amount - m_tokens) / m_perSecond);
+    }
+
     /// Changes the rate and the burst; the available tokens are kept up to the new burst.
     void setRate(double perSecond, double burst)
     {
