Calls beyond the allowance of their workspace get 429

Daemons served any number of calls of a workspace, whatever its rate in the configuration.

AllowanceLink (control thread) passes requests for tokens to the home of a workspace over a UDP port of its own, which is opened only once a workspace has a limit. CallAllowances (traffic thread) decides; a call that waits for the home is held before its dispatcher gets it. A refusal carries Retry-After and is a call end of its own, with metrics by decision and source, a log field for the reason, and the 20 busiest workspaces in the state dump. A caller that leaves and a daemon that stops drop or refuse held calls. Descriptions of load and the mapping of attempt outcomes move out of traffic.cpp, which gets shorter by 20 lines.

--- a/src/core/limits/allowance.h
+++ b/src/core/limits/allowance.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -68,6 +69,9 @@
     OwnShare,
 };
 
+/// Name in the log.
+std::string_view nameOf(AllowanceSource source);
+
 /// The call may be submitted.
 struct CallAllowed
 {
--- a/src/entry/admin.cpp
+++ b/src/entry/admin.cpp
@@ -62,6 +62,21 @@
               "Calls rejected because of their credential.",
               prometheus::MetricType::Counter,
               std::move(credentialErrors));
+    const auto &allowances = counters.allowances;
+    addFamily(families,
+              "laburnummast_allowance_decisions_total",
+              "Calls of workspaces with a limit, by decision and by what it was based on.",
+              prometheus::MetricType::Counter,
+              {sample(static_cast<double>(allowances.allowedByHome), {{"decision", "allowed"}, {"source", "home"}}),
+               sample(static_cast<double>(allowances.allowedByOwnShare), {{"decision", "allowed"}, {"source", "own-share"}}),
+               sample(static_cast<double>(allowances.deniedByHome), {{"decision", "denied"}, {"source", "home"}}),
+               sample(static_cast<double>(allowances.deniedByOwnShare), {{"decision", "denied"}, {"source", "own-share"}})});
+    addCounter(families, "laburnummast_allowance_calls_held_total", "Calls that waited for the home of their workspace.", allowances.held);
+    addCounter(families, "laburnummast_allowance_requests_total", "Requests to the homes of workspaces.", allowances.requests);
+    addCounter(families,
+               "laburnummast_allowance_requests_unanswered_total",
+               "Requests to the homes of workspaces without an answer in time.",
+               allowances.unansweredRequests);
     std::vector<prometheus::ClientMetric> rejected;
     for (std::size_t i = 0; i < Http::rejectReasonCount; ++i) {
         rejected.push_back(
@@ -147,6 +162,15 @@
              "laburnummast_evacuated_domains",
              "Failure domains that operators have evacuated.",
              static_cast<double>(state.evacuatedDomains.size()));
+    addGauge(families,
+             "laburnummast_allowance_homes",
+             "Workspaces with a limit whose home this daemon is.",
+             static_cast<double>(state.allowances.homedWorkspaces));
+    addCounter(families, "laburnummast_allowance_requests_served_total", "Requests answered as a home.", state.allowances.requests);
+    addCounter(families,
+               "laburnummast_allowance_messages_rejected_total",
+               "Datagrams about allowances that could not be used.",
+               state.allowances.rejectedMessages);
     addGauge(families, "laburnummast_members", "Daemons that live.", static_cast<double>(state.servingMemberCount));
     addCounter(families, "laburnummast_unreadable_records_total", "Records of the store that could not be read.", state.unreadableValues);
     addCounter(families, "laburnummast_record_fetches_total", "Requests for records to other daemons.", state.peers.fetches);
--- a/src/entry/callend.h
+++ b/src/entry/callend.h
@@ -28,9 +28,11 @@
     CallerLeft,
     /// Rejected because of its credential.
     Unauthorized,
+    /// Refused because it is beyond the allowance of its workspace.
+    OverAllowance,
 };
 
-constexpr std::size_t callEndCount = 10;
+constexpr std::size_t callEndCount = 11;
 /// Name in metrics and in the log.
 std::string_view nameOf(CallEnd end);
 
--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -85,6 +85,7 @@
                .currentReport = [this] { return positionReport(); },
                .recordsSince = [this](Topic topic, const Feed::LogPosition &from) { return recordsSince(topic, from); },
                .onRecords = [this](Topic topic, const Feed::FeedDelta &delta) { applyPeerRecords(topic, delta); }})
+    , m_allowances(loop, settings, m_peers.members(), m_events.onAllowanceAnswer)
     , m_timer(loop)
     , m_startedAt(Process::steadyNow())
 {
@@ -239,6 +240,7 @@
     const auto now = Process::steadyNow();
     detectUnreachableStore(now);
     startOrEndReading(now);
+    m_allowances.tick(m_peers.counters().datagramsIn, now);
     if (m_upstreams.applyDeferredRemovals(now)) {
         scheduleUpstreamUpdate();
     }
@@ -516,6 +518,7 @@
         logInfo("member", {{"host", change.member.info.host}, {"state", std::string(Membership::nameOf(change.member.state))}});
     }
     m_membersChanged = true;
+    m_allowances.handleMemberChange(change);
 }
 
 bool Control::ready() const
@@ -598,7 +601,10 @@
             view->entries.push_back({.host = it.info.host, .domain = it.info.domain, .address = Config::toString(it.info.entry)});
         }
     }
-    view->limitPool = std::make_shared<const Limits::LimitPool>(limitPool());
+    auto pool = limitPool();
+    m_allowances.configure(m_routes ? m_routes->workspaces() : nullptr, pool, m_lastViewAt);
+    view->allowanceDaemons = m_allowances.knownDaemons();
+    view->limitPool = std::make_shared<const Limits::LimitPool>(std::move(pool));
     m_events.onViewChanged(std::move(view));
 }
 
@@ -658,6 +664,7 @@
         }
     }
     m_peers.stop();
+    m_allowances.stop();
 }
 
 ControlState Control::state() const
@@ -682,6 +689,7 @@
     state.servingMemberCount = m_peers.members().serving().size();
     state.unreadableValues = m_unreadableValues;
     state.peers = m_peers.counters();
+    state.allowances = m_allowances.state();
     return state;
 }
 
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -7,6 +7,7 @@
 #include "core/fleet/firstread.h"
 #include "core/fleet/readerchoice.h"
 #include "core/fleet/upstreamtable.h"
+#include "entry/allowancelink.h"
 #include "entry/nodesettings.h"
 #include "entry/nodeview.h"
 #include "entry/peerlink.h"
@@ -64,6 +65,7 @@
     /// Whether the store is unreachable for at least one topic.
     bool storeUnreachable = false;
     PeerCounters peers;
+    AllowanceLinkState allowances;
 };
 
 /// Callbacks of Control, called on the control thread.
@@ -73,6 +75,8 @@
     std::function<void(std::shared_ptr<const NodeView>)> onViewChanged;
     /// Another daemon reported observations from its calls.
     std::function<void(Observations)> onPeerObservations;
+    /// The home of a workspace answered a request.
+    std::function<void(const Limits::AllowanceAnswer &)> onAllowanceAnswer;
 };
 
 /// Follows the routes, the upstreams and the members: reads records from the store or gets them from peers.
@@ -91,6 +95,11 @@
     void stop();
     /// Adds observations from this daemon's calls to the next report.
     void addObservations(const Observations &observations);
+    /// Passes a request of this daemon's calls to the home of the workspace.
+    void requestAllowance(const Limits::AllowanceRequest &request)
+    {
+        m_allowances.send(request);
+    }
 
     ControlState state() const;
 
@@ -199,6 +208,7 @@
     /// Record of the routes in force; after the store has returned from a copy, its own may be older.
     std::string m_routesValue;
     PeerLink m_peers;
+    AllowanceLink m_allowances;
     /// Outcomes for the next report, by upstream.
     std::map<std::string, UpstreamOutcome> m_outcomes;
     /// Limits for the next reports, by upstream, with the time since which they hold.
--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -36,9 +36,15 @@
     , m_trafficWorkGuard(boost::asio::make_work_guard(m_trafficLoop))
     , m_controlWorkGuard(boost::asio::make_work_guard(m_controlLoop))
 {
-    m_traffic = std::make_unique<Traffic>(m_trafficLoop, settings, [this](Observations observations) {
-        boost::asio::post(m_controlLoop, [this, observations = std::move(observations)] { m_control->addObservations(observations); });
-    });
+    m_traffic = std::make_unique<Traffic>(
+        m_trafficLoop,
+        settings,
+        [this](Observations observations) {
+            boost::asio::post(m_controlLoop, [this, observations = std::move(observations)] { m_control->addObservations(observations); });
+        },
+        [this](const Limits::AllowanceRequest &request) {
+            boost::asio::post(m_controlLoop, [this, request] { m_control->requestAllowance(request); });
+        });
     m_control = std::make_unique<Control>(
         m_controlLoop,
         settings,
@@ -51,6 +57,10 @@
                               boost::asio::post(m_trafficLoop, [this, observations = std::move(observations)] {
                                   m_traffic->recordPeerObservations(observations);
                               });
+                          },
+                      .onAllowanceAnswer =
+                          [this](const Limits::AllowanceAnswer &answer) {
+                              boost::asio::post(m_trafficLoop, [this, answer] { m_traffic->receiveAllowance(answer); });
                           }});
 }
 
--- a/src/entry/nodeview.h
+++ b/src/entry/nodeview.h
@@ -39,6 +39,8 @@
     std::shared_ptr<const Limits::LimitPool> limitPool;
     /// Daemons that share the retry budget, this one and members that are not alive included.
     std::size_t daemonCount = 1;
+    /// Daemons that divide the allowances of workspaces while they cannot reach its home, dead ones included.
+    std::size_t allowanceDaemons = 1;
     /// Whether this daemon has run long enough to know nearly all members.
     bool membersKnown = false;
     /// Alive and suspected daemons; they share the probe rate.
--- a/src/entry/peerlink.h
+++ b/src/entry/peerlink.h
@@ -33,6 +33,8 @@
     Reports = 1,
     /// Metrics and the state dump over TCP.
     Admin = 2,
+    /// Allowances of workspaces over UDP.
+    Allowances = 3,
 };
 
 /// Address of an internal port of this daemon.
--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -1,6 +1,8 @@
 #include "entry/traffic.h"
 
 #include "core/text.h"
+#include "entry/attemptoutcome.h"
+#include "entry/loaddescription.h"
 #include "platform/directory.h"
 #include "platform/requests.h"
 #include "process/wallclock.h"
@@ -21,6 +23,8 @@
 // Time for which callers may keep an entry list: short, so that a dead host is soon left out; some callers keep a list three times
 // as long.
 constexpr Millis entryListLifetime = 1500_ms;
+// When callers may repeat a call that was held when the daemon stopped; another daemon takes it then.
+constexpr Millis stoppingRetryAfter = 50_ms;
 constexpr Millis housekeepingInterval = 250_ms;
 // A probe is abandoned after this time; the load in a later response would be outdated.
 constexpr Millis probeTimeout = 150_ms;
@@ -50,77 +54,6 @@
     return Text::concat(static_cast<std::int64_t>(span.count));
 }
 
-// Formats the load report of an upstream as RUNNING+WAITING/SLOTSxSLOWNESS@AGE, with the slowness in percent.
-// Without a report it gives the calls of this daemon that are in flight there.
-std::string describeLoad(const Placement::UpstreamView &view, Millis now)
-{
-    if (!view.report()) {
-        return Text::concat("none/own=", view.inFlight());
-    }
-    const auto &load = *view.report();
-    return Text::concat(load.running,
-                        "+",
-                        load.waiting,
-                        "/",
-                        load.slots,
-                        "x",
-                        static_cast<int>(load.slowness * 100),
-                        "@",
-                        static_cast<std::int64_t>((now - view.reportedAt()).count),
-                        "ms");
-}
-
-// Formats the values on which a refusal is based.
-std::string describeDispatcher(const Placement::ServiceDispatcher &dispatcher, Millis now)
-{
-    return Text::concat("pressure=",
-                        dispatcher.pressure(),
-                        ",typical-ms=",
-                        static_cast<std::int64_t>(dispatcher.latencyModel().typicalLatency().count),
-                        ",full-crowding=",
-                        dispatcher.latencyModel().contentionFactor(1),
-                        ",upstreams=",
-                        dispatcher.upstreamCount(),
-                        ",limited=",
-                        dispatcher.limitedUpstreams(now),
-                        ",unavailable=",
-                        dispatcher.unavailableUpstreams(now));
-}
-
-AttemptOutcome outcomeOf(Http::ClientError error)
-{
-    switch (error) {
-    case Http::ClientError::CannotConnect:
-        return AttemptOutcome::NotSent;
-    case Http::ClientError::TimedOut:
-        return AttemptOutcome::TimedOut;
-    case Http::ClientError::Cancelled:
-        return AttemptOutcome::Cancelled;
-    case Http::ClientError::ConnectionLost:
-    case Http::ClientError::Malformed:
-    case Http::ClientError::TooLarge:
-        return AttemptOutcome::Incomplete;
-    }
-    return AttemptOutcome::Incomplete;
-}
-
-AttemptOutcome outcomeOf(AnswerKind kind)
-{
-    switch (kind) {
-    case AnswerKind::Success:
-        return AttemptOutcome::Answered;
-    case AnswerKind::Failure:
-        return AttemptOutcome::Failed;
-    case AnswerKind::NotRun:
-        return AttemptOutcome::Shed;
-    case AnswerKind::WrongInstance:
-        return AttemptOutcome::NotSent;
-    case AnswerKind::Unusable:
-        return AttemptOutcome::Incomplete;
-    }
-    return AttemptOutcome::Incomplete;
-}
-
 }
 
 std::string_view nameOf(CallError error)
@@ -136,7 +69,10 @@
     return "unknown";
 }
 
-Traffic::Traffic(boost::asio::io_context &loop, const NodeSettings &settings, OnObservations onObservations)
+Traffic::Traffic(boost::asio::io_context &loop,
+                 const NodeSettings &settings,
+                 OnObservations onObservations,
+                 OnAllowanceRequest onAllowanceRequest)
     : m_loop(loop)
     , m_settings(settings)
     , m_onObservations(std::move(onObservations))
@@ -160,6 +96,9 @@
            = [this](const Http::Request &request, const Http::Responder &responder, std::uint64_t) { serveEntryList(request, responder); },
            .onDisconnect = [](std::uint64_t) {}})
     , m_connections(loop)
+    , m_allowances(loop,
+                   {.onRequest = std::move(onAllowanceRequest),
+                    .onDecision = [this](std::uint64_t id, const Limits::AllowanceDecision &it) { applyAllowance(id, it); }})
     // Starts empty: after a restart of all daemons, full buckets would allow a burst of probes from all of them at once.
     , m_probeTokens(0, 0)
     , m_housekeepingTimer(loop)
@@ -196,6 +135,7 @@
 {
     const bool sameUpstreams = m_view->upstreams == view->upstreams && m_view->routes == view->routes;
     m_view = std::move(view);
+    m_allowances.setView(*m_view);
     if (!sameUpstreams) {
         applyRoutesAndUpstreams();
     }
@@ -327,12 +267,28 @@
                       .responder = responder,
                       .arrived = now};
     openCall.call = std::move(call);
-    auto &service = *openCall.service;
-    const auto spec = openCall.spec;
     m_calls.emplace(id, std::move(openCall));
-    Dispatch::Actions actions;
-    service.dispatcher.submit(spec, now, actions);
-    execute(service, actions);
+    applyAllowance(id, m_allowances.decide(workspace, id));
+}
+
+void Traffic::applyAllowance(std::uint64_t id, const Limits::AllowanceDecision &decision)
+{
+    const auto found = m_calls.find(id);
+    if (found == m_calls.end()) {
+        return;
+    }
+    auto &openCall = found->second;
+    openCall.held = std::holds_alternative<Limits::CallHeld>(decision);
+    if (const auto *denied = std::get_if<Limits::CallDenied>(&decision)) {
+        openCall.lastError = Limits::nameOf(denied->source);
+        openCall.refusalDetails = Text::concat("retry-after-ms=", millisText(denied->retryAfter));
+        endCall(found, CallEnd::OverAllowance, Platform::overAllowanceResponse(openCall.call.id, denied->retryAfter));
+    } else if (!openCall.held) {
+        auto &service = *openCall.service;
+        Dispatch::Actions actions;
+        service.dispatcher.submit(openCall.spec, steadyNow(), actions);
+        execute(service, actions);
+    }
 }
 
 void Traffic::rejectCall(const IncomingCall &call, RejectedCall rejection, const Http::Responder &responder)
@@ -670,6 +626,9 @@
     }
     auto &openCall = found->second;
     auto &service = *openCall.service;
+    if (openCall.held) {
+        m_allowances.forget(openCall.call.workspace, id);
+    }
     // Attempts of a call that is not idempotent run to their end: after a cancellation it would be unknown whether the call was executed.
     if (!openCall.spec.idempotent) {
         for (auto &[number, it] : openCall.attempts) {
@@ -782,8 +741,26 @@
     m_front.stopAccepting();
 }
 
+void Traffic::endHeldCalls()
+{
+    std::vector<std::uint64_t> held;
+    for (const auto &[id, it] : m_calls) {
+        if (it.held) {
+            held.push_back(id);
+        }
+    }
+    for (const auto id : held) {
+        // The answer to one call may let a caller send or end another one.
+        if (const auto found = m_calls.find(id); found != m_calls.end()) {
+            m_allowances.forget(found->second.call.workspace, id);
+            endCall(found, CallEnd::NotRun, Platform::notRunResponse(found->second.call.id, stoppingRetryAfter));
+        }
+    }
+}
+
 void Traffic::endCalls()
 {
+    endHeldCalls();
     for (const auto &[name, service] : m_services) {
         Dispatch::Actions actions;
         service->dispatcher.endCalls(steadyNow(), actions);
@@ -795,6 +772,7 @@
 void Traffic::stop()
 {
     m_housekeepingTimer.cancel();
+    m_allowances.stop();
     m_front.closeAll();
     m_readiness.closeAll();
     m_directory.closeAll();
@@ -813,6 +791,7 @@
                              .suppressedLogLines = m_callLog.suppressedCount(),
                              .unreadableLimits = m_unreadableLimits,
                              .unreadablePauses = m_unreadablePauses};
+    counters.allowances = m_allowances.counters();
     for (const auto &[name, it] : m_services) {
         counters.limitedUpstreams += it->dispatcher.limitedUpstreams(steadyNow());
         counters.unavailableUpstreams += it->dispatcher.unavailableUpstreams(steadyNow());
@@ -831,7 +810,8 @@
 std::string Traffic::stateDump() const
 {
     const auto now = steadyNow();
-    auto text = Text::concat("calls-open ", m_calls.size(), "\nfront-connections ", m_front.connectionCount(), "\n");
+    auto text
+        = Text::concat("calls-open ", m_calls.size(), "\nfront-connections ", m_front.connectionCount(), "\n", m_allowances.stateDump());
     for (const auto &[name, service] : m_services) {
         const auto &dispatcher = service->dispatcher;
         Text::append(text, "service ", name, " upstreams=", dispatcher.upstreamCount(), " open=", dispatcher.openCalls());
--- a/src/entry/traffic.h
+++ b/src/entry/traffic.h
@@ -5,6 +5,7 @@
 #include "core/workspaces/credential.h"
 #include "entry/call.h"
 #include "entry/calladmission.h"
+#include "entry/callallowances.h"
 #include "entry/callend.h"
 #include "entry/calllog.h"
 #include "entry/latencytotals.h"
@@ -57,6 +58,7 @@
     /// Listed upstreams that are leaving or want no calls from this daemon at present; not a counter.
     std::size_t unavailableUpstreams = 0;
     Placement::PlacementCounters placement;
+    Limits::AllowanceCounters allowances;
 };
 
 /// Serves callers: accepts calls, sends their attempts and the probes to upstreams, and answers requests for the entry list.
@@ -67,8 +69,13 @@
 public:
     /// Called several times per second if there are observations to report.
     using OnObservations = std::function<void(Observations)>;
+    /// Called with requests to the homes of workspaces.
+    using OnAllowanceRequest = std::function<void(const Limits::AllowanceRequest &)>;
 
-    Traffic(boost::asio::io_context &loop, const NodeSettings &settings, OnObservations onObservations);
+    Traffic(boost::asio::io_context &loop,
+            const NodeSettings &settings,
+            OnObservations onObservations,
+            OnAllowanceRequest onAllowanceRequest);
     ~Traffic();
     Traffic(const Traffic &) = delete;
     Traffic &operator=(const Traffic &) = delete;
@@ -81,6 +88,11 @@
     void setBounds(const NodeBounds &bounds);
     /// Records observations that another daemon reported.
     void recordPeerObservations(const Observations &observations);
+    /// Applies an answer of the home of a workspace.
+    void receiveAllowance(const Limits::AllowanceAnswer &answer)
+    {
+        m_allowances.receive(answer);
+    }
     /// Closes connections of callers once they are idle; still accepts new ones. Calls that `window` does not allow are refused.
     void drain(const Placement::DrainWindow &window);
     /// Accepts no more connections of callers; calls in flight continue.
@@ -170,11 +182,17 @@
         /// Values on which a refusal was based, for the log.
         std::string refusalDetails;
         int attemptCount = 0;
+        /// Not submitted to its dispatcher yet: the home of its workspace was asked for a token.
+        bool held = false;
     };
 
     using CallMap = std::unordered_map<Dispatch::CallId, OpenCall>;
 
     void handleRequest(Http::Request request, const Http::Responder &responder, std::uint64_t id);
+    /// Submits, refuses or holds a call.
+    void applyAllowance(std::uint64_t id, const Limits::AllowanceDecision &decision);
+    /// Refuses the calls that are held.
+    void endHeldCalls();
     void handleCallerLeft(std::uint64_t id);
     void handleRejected(const Http::RejectedRequest &request);
     void rejectCall(const IncomingCall &call, RejectedCall rejection, const Http::Responder &responder);
@@ -218,6 +236,7 @@
     Http::Listener m_readiness;
     Http::Listener m_directory;
     UpstreamConnections m_connections;
+    CallAllowances m_allowances;
     /// Set while the daemon is being stopped.
     std::optional<Placement::DrainWindow> m_drainWindow;
     /// Limits the probes of all services of this daemon together.
--- a/src/platform/requests.cpp
+++ b/src/platform/requests.cpp
@@ -43,6 +43,7 @@
 
 constexpr int unauthorized = 401;
 constexpr int serviceUnavailable = 503;
+constexpr int tooManyRequests = 429;
 constexpr int misdirectedRequest = 421;
 // Statuses from which a caller concludes that its call was not run.
 constexpr std::array<int, 4> notRunStatuses{408, 421, 429, 503};
@@ -161,6 +162,16 @@
     return impliesNotRun || isEncoded || (response.status < 500 && !isSigned) ? Entry::AnswerKind::Unusable : Entry::AnswerKind::Failure;
 }
 
+// Response to a call that was not run.
+Http::Response refusal(std::string_view callId, int status, Millis retryAfter)
+{
+    auto response = localResponse(callId, status);
+    std::array<char, 32> buf{};
+    const int n = std::snprintf(buf.data(), buf.size(), "%.3f", retryAfter.count / 1000);
+    response.headers.push_back({std::string(retryAfterHeader), std::string(buf.data(), static_cast<std::size_t>(n))});
+    return response;
+}
+
 }
 
 Result<Entry::IncomingCall, Entry::CallError> decodeCall(Http::Request request)
@@ -308,11 +319,12 @@
 
 Http::Response notRunResponse(std::string_view callId, Millis retryAfter)
 {
-    auto response = localResponse(callId, serviceUnavailable);
-    std::array<char, 32> buf{};
-    const int n = std::snprintf(buf.data(), buf.size(), "%.3f", retryAfter.count / 1000);
-    response.headers.push_back({std::string(retryAfterHeader), std::string(buf.data(), static_cast<std::size_t>(n))});
-    return response;
+    return refusal(callId, serviceUnavailable, retryAfter);
+}
+
+Http::Response overAllowanceResponse(std::string_view callId, Millis retryAfter)
+{
+    return refusal(callId, tooManyRequests, retryAfter);
 }
 
 Http::Response unauthorizedResponse(std::string_view callId)
--- a/src/platform/requests.h
+++ b/src/platform/requests.h
@@ -46,6 +46,8 @@
 
 /// Response to a call that was not run and will not be; the caller may try again after `retryAfter`.
 Http::Response notRunResponse(std::string_view callId, Millis retryAfter);
+/// Response to a call beyond the allowance of its workspace; it was not run, and the caller may try again after `retryAfter`.
+Http::Response overAllowanceResponse(std::string_view callId, Millis retryAfter);
 /// Response to a call whose credential is rejected.
 Http::Response unauthorizedResponse(std::string_view callId);
 /// Response without a body that this daemon creates itself; an empty `callId` is left out.
--- a/tests/limits/allowances.cpp
+++ b/tests/limits/allowances.cpp
@@ -155,28 +155,28 @@
         bool withHome;
         Millis cutAt;
     };
-    for (const auto &[cutOff, withHome, cutAt] : std::vector<Case>{{1, false, floodFrom + 500_ms},
-                                                                   {1, true, floodFrom - 1_s},
-                                                                   {31, false, floodFrom - 1_s},
-                                                                   {31, false, floodFrom + 500_ms},
-                                                                   {31, true, floodFrom + 500_ms},
-                                                                   {52, true, floodFrom - 2_s}}) {
-        CAPTURE(cutOff);
-        CAPTURE(withHome);
-        CAPTURE(cutAt.count);
+    for (const auto &it : std::vector<Case>{{1, false, floodFrom + 500_ms},
+                                            {1, true, floodFrom - 1_s},
+                                            {31, false, floodFrom - 1_s},
+                                            {31, false, floodFrom + 500_ms},
+                                            {31, true, floodFrom + 500_ms},
+                                            {52, true, floodFrom - 2_s}}) {
+        CAPTURE(it.cutOff);
+        CAPTURE(it.withHome);
+        CAPTURE(it.cutAt.count);
         Deployment deployment(5);
         auto &fleet = deployment.fleet;
-        const auto healedAt = cutAt + 10_s;
-        fleet.at(cutAt, [&] { fleet.cut(someDaemons(fleet, cutOff, withHome), 1); });
+        const auto healedAt = it.cutAt + 10_s;
+        fleet.at(it.cutAt, [&] { fleet.cut(someDaemons(fleet, it.cutOff, it.withHome), 1); });
         fleet.at(healedAt, [&] { fleet.heal(); });
         fleet.run(35_s);
         deployment.checkBounds();
-        const double others = deployment.partOfCentral(1, workspaceCount, cutAt, healedAt);
+        const double others = deployment.partOfCentral(1, workspaceCount, it.cutAt, healedAt);
         const double after = deployment.partOfCentral(0, workspaceCount, healedAt + 3_s, 35_s);
         INFO("excess ",
              fleet.largestExcess(0),
              ", in the cut ",
-             deployment.partOfCentral(0, 1, cutAt, healedAt),
+             deployment.partOfCentral(0, 1, it.cutAt, healedAt),
              ", others ",
              others,
              ", afterwards ",
