--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -95,6 +95,7 @@
                            // this moment, as a later one holds for later routes.
                            boost::asio::post(m_loop, [this, provenAt = m_freshness.limit().provenAt] { m_events.onProof(*provenAt); });
                        }})
+    , m_allowances(loop, settings, m_peers.members(), m_events.onAllowanceAnswer)
     , m_timer(loop)
     , m_startedAt(Process::steadyNow())
 {
@@ -261,6 +262,7 @@
     detectUnreachableStore(now);
     startOrEndReading(now);
     updateFreshness();
+    m_allowances.tick(m_peers.counters().datagramsIn, now);
     if (m_upstreams.applyDeferredRemovals(now)) {
         scheduleUpstreamUpdate();
     }
@@ -540,6 +542,7 @@
         logInfo("member", {{"host", change.member.info.host}, {"state", std::string(Membership::nameOf(change.member.state))}});
     }
     m_membersChanged = true;
+    m_allowances.handleMemberChange(change);
 }
 
 bool Control::ready() const
@@ -642,7 +645,10 @@
             view->entries.push_back({.host = it.info.host, .domain = it.info.domain, .address = Config::toString(it.info.entry)});
         }
     }
-    view->limitPool = std::make_shared<const Limits::LimitPool>(limitPool());
+    auto pool = limitPool();
+    m_allowances.configure(m_routes ? m_routes->workspaces() : nullptr, pool, m_lastViewAt);
+    view->allowanceDaemons = m_allowances.knownDaemons();
+    view->limitPool = std::make_shared<const Limits::LimitPool>(std::move(pool));
     m_events.onViewChanged(std::move(view));
 }
 
@@ -703,6 +709,7 @@
         }
     }
     m_peers.stop();
+    m_allowances.stop();
 }
 
 ControlState Control::state() const
@@ -728,6 +735,7 @@
     state.unreadableValues = m_unreadableValues;
     state.peers = m_peers.counters();
     state.freshness = m_freshness.state();
+    state.allowances = m_allowances.state();
     return state;
 }
 
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -7,6 +7,7 @@
 #include "core/fleet/firstread.h"
 #include "core/fleet/readerchoice.h"
 #include "core/fleet/upstreamtable.h"
+#include "entry/allowancelink.h"
 #include "entry/freshnesslink.h"
 #include "entry/nodesettings.h"
 #include "entry/nodeview.h"
@@ -66,6 +67,7 @@
     bool storeUnreachable = false;
     PeerCounters peers;
     FreshnessState freshness;
+    AllowanceLinkState allowances;
 };
 
 /// Callbacks of Control, called on the control thread.
@@ -77,6 +79,8 @@
     std::function<void(Millis provenAt)> onProof;
     /// Another daemon reported observations from its calls.
     std::function<void(Observations)> onPeerObservations;
+    /// The home of a workspace answered a request.
+    std::function<void(const Limits::AllowanceAnswer &)> onAllowanceAnswer;
 };
 
 /// Follows the routes, the upstreams and the members: reads records from the store or gets them from peers.
@@ -95,6 +99,11 @@
     void stop();
     /// Adds observations from this daemon's calls to the next report.
     void addObservations(const Observations &observations);
+    /// Passes a request of this daemon's calls to the home of the workspace.
+    void requestAllowance(const Limits::AllowanceRequest &request)
+    {
+        m_allowances.send(request);
+    }
 
     ControlState state() const;
 
@@ -208,6 +217,7 @@
     std::string m_routesValue;
     PeerLink m_peers;
     FreshnessLink m_freshness;
+    AllowanceLink m_allowances;
     /// Outcomes for the next report, by upstream.
     std::map<std::string, UpstreamOutcome> m_outcomes;
     /// Limits for the next reports, by upstream, with the time since which they hold.
