--- a/src/platform/routesrecord.cpp
+++ b/src/platform/routesrecord.cpp
@@ -302,6 +302,7 @@
             level.current = parsed.get<std::string>();
             if (!level.names.insert(level.current).second) {
                 std::vector<std::string> path;
+                path.reserve(levels.size());
                 for (const auto &it : levels) {
                     path.push_back(it.current);
                 }
--- a/tests/daemon/attempts.cpp
+++ b/tests/daemon/attempts.cpp
@@ -1,3 +1,4 @@
+#include "core/text.h"
 #include "daemon/attempt.h"
 #include "process/wallclock.h"
 
@@ -58,8 +59,10 @@
         CAPTURE(status);
         for (const std::string header : {"", "X-Not-Run: 1\r\n"}) {
             CAPTURE(header);
-            const auto completed = attemptWith(
-                "HTTP/1.1 " + status + " Odd\r\nX-Request-Id: c.1\r\n" + header + "Content-Length: 1\r\n\r\nx", false, std::string());
+            const auto completed
+                = attemptWith(Text::concat("HTTP/1.1 ", status, " Odd\r\nX-Request-Id: c.1\r\n", header, "Content-Length: 1\r\n\r\nx"),
+                              false,
+                              std::string());
             CHECK(completed.result.outcome == AttemptOutcome::Incomplete);
             CHECK(completed.answer == nullptr);
         }
--- a/tests/entry/answers.cpp
+++ b/tests/entry/answers.cpp
@@ -63,7 +63,8 @@
         for (const auto &headers : {std::string(), signature + notExecuted}) {
             CAPTURE(headers);
             RawSystem system(
-                [&](const std::string &idLine) { return "HTTP/1.1 " + status + " Odd\r\n" + idLine + headers + "\r\n\r\nbody"; }, false);
+                [&](const std::string &idLine) { return Text::concat("HTTP/1.1 ", status, " Odd\r\n", idLine, headers, "\r\n\r\nbody"); },
+                false);
             const auto answer = system.call("/t/x", "POST", "x");
             CHECK(answer.status == 502);
             CHECK(answer.body.empty());
--- a/tests/http/answerends.cpp
+++ b/tests/http/answerends.cpp
@@ -1,5 +1,7 @@
 #include "http/clientconnection.h"
 
+#include "core/text.h"
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
@@ -255,7 +257,7 @@
         CAPTURE(status);
         for (const auto &rest : rests) {
             CAPTURE(rest);
-            const auto bytes = "HTTP/1.1 " + status + " Odd" + rest;
+            const auto bytes = Text::concat("HTTP/1.1 ", status, " Odd", rest);
             for (const bool onKeptConnection : {false, true}) {
                 CHECK(resultOf(bytes, StreamEnd::HalfClosed, onKeptConnection) == "malformed");
                 CHECK(resultOf(bytes, StreamEnd::HalfClosed, onKeptConnection, true) == "malformed");
--- a/tests/net/answerends.cpp
+++ b/tests/net/answerends.cpp
@@ -1,5 +1,7 @@
 #include "net/httpclient.h"
 
+#include "core/text.h"
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
@@ -115,7 +117,7 @@
                                        "\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n",
                                        "\r\n\r\n"}) {
             CAPTURE(rest);
-            const auto result = resultOf("HTTP/1.1 " + status + " Odd" + rest, false);
+            const auto result = resultOf(Text::concat("HTTP/1.1 ", status, " Odd", rest), false);
             CHECK_MESSAGE((result == "malformed" || result == "broken-off"), result);
         }
     }
