--- a/tests/entry/freshness.cpp
+++ b/tests/entry/freshness.cpp
@@ -183,7 +183,8 @@
 TEST_CASE("A call whose proof gets too old before it is sent is refused as not run")
 {
     System system(1);
-    Entry::Traffic traffic(system.loop(), system.settingsOf(0), [](const Entry::Observations &) {});
+    Entry::Traffic traffic(
+        system.loop(), system.settingsOf(0), [](const Entry::Observations &) {}, [](const Limits::AllowanceRequest &) {});
     REQUIRE_FALSE(traffic.start().has_value());
     const auto routes = Platform::decodeRoutes(keyedRoutes(2, R"("n1")"));
     const auto &upstream = *system.upstreams[0];
