Findings of the review: sends after a slow connect, rejections while routes are outdated, null workspaces

A call whose connection took seconds to open, because a packet was lost, was sent without another look at its proof and its upstream: it could run after its key was withdrawn or its domain evacuated. Exchange::maySend asks again. Without current routes any missing or odd credential gets 503, as a newer version may need none. A daemon whose restored store lacks the routes takes those of a peer. Tests: http/exchange, entry/credentials, platform/records.

--- a/src/entry/calladmission.cpp
+++ b/src/entry/calladmission.cpp
@@ -36,7 +36,8 @@
         call.workspace = workspace->name;
         return AdmittedCall{.route = &route, .workspace = workspace, .permit = gate.permit()};
     }
-    if (error == CredentialError::Unknown && !view.routesCurrent) {
+    // A newer version may hold the key, make the route public or need no credential.
+    if (!view.routesCurrent) {
         return notReady(call, "credentials-outdated");
     }
     return RejectedCall{.end = CallEnd::Unauthorized,
--- a/src/entry/control.cpp
+++ b/src/entry/control.cpp
@@ -458,7 +458,7 @@
         // At the same position the feed ignores the record, but the peer may have a later version in force than the store's copy.
         const auto *known = followed.feed.find(Platform::routesKey());
         for (const auto &it : delta.records) {
-            if (it.key == Platform::routesKey() && known && *known != it.value) {
+            if (it.key == Platform::routesKey() && (!known || *known != it.value)) {
                 applyRoutesRecord(it);
             }
         }
--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -433,6 +433,7 @@
          .budget = m_memory.budget(),
          .headRequest = openCall.call.method == "HEAD",
          .matchesRequest = [callId = openCall.call.id](const Http::Response &it) { return Platform::isResponseToCall(it, callId); },
+         .maySend = [this, id, permit = openCall.permit] { return m_freshness.permits(permit) && m_connections.addressOf(id) != nullptr; },
          .onResult = onResult});
 }
 
--- a/src/http/clientconnection.cpp
+++ b/src/http/clientconnection.cpp
@@ -128,6 +128,11 @@
         boost::system::error_code ignored;
         self->m_socket.set_option(Asio::ip::tcp::no_delay(true), ignored);
         self->m_socket.non_blocking(true, ignored);
+        // Connecting can take seconds if the first packet is lost, so what allowed the request may no longer hold.
+        if (self->m_exchange.maySend && !self->m_exchange.maySend()) {
+            self->fail(ClientError::CannotConnect);
+            return;
+        }
         self->m_connected = true;
         self->send();
     });
--- a/src/http/clientconnection.h
+++ b/src/http/clientconnection.h
@@ -62,6 +62,9 @@
     bool headRequest = false;
     /// Responses for which this returns false belong to another request and are discarded; if unset, every response is accepted.
     std::function<bool(const Response &)> matchesRequest;
+    /// Asked once a connection that had to be opened first is open; if it returns false, nothing is sent and the exchange fails with
+    /// `CannotConnect`. May be unset.
+    std::function<bool()> maySend = nullptr;
     /// Called once with the result, unless the exchange is cancelled or the connection is closed first.
     std::function<void(ClientResult)> onResult;
 };
--- a/tests/entry/credentials.cpp
+++ b/tests/entry/credentials.cpp
@@ -93,5 +93,7 @@
     REQUIRE(callWithKey(system, 0, "/r/x", {{"Authorization", "Token n2"}}).status == 401);
     system.store().setMode(FakeStore::Mode::Unresponsive);
     CHECK(system.runUntil([&] { return callWithKey(system, 0, "/r/x", {{"Authorization", "Token n2"}}).status == 503; }));
+    // A newer version may need no credential.
+    CHECK(callWithKey(system, 0, "/r/x", {}).status == 503);
     CHECK(callWithKey(system, 0, "/r/x", {{"Authorization", "Token n1"}}).status == 200);
 }
--- a/tests/http/exchange.cpp
+++ b/tests/http/exchange.cpp
@@ -519,3 +519,20 @@
     upstream.acceptor.close();
     CHECK(bodyOf(client.get("1")) == "cannot-connect");
 }
+
+// Guards against a call that is sent although its credential was withdrawn, or its upstream evacuated, while the connection was opened.
+TEST_CASE("A request that may no longer be sent once its connection is open is not sent")
+{
+    TestServer server([](const Request &, const Responder &responder) { responder.send({.status = 200, .headers = {}, .body = {}}); });
+    std::optional<ClientResult> result;
+    const auto connection = std::make_shared<ClientConnection>(server.loop, server.listener.endpoint());
+    connection->start({.bytes = encode(Request{.method = "GET", .target = "/", .headers = {{"Host", "h"}}, .body = {}}),
+                       .timeout = 20_s,
+                       .matchesRequest = nullptr,
+                       .maySend = [] { return false; },
+                       .onResult = [&](ClientResult it) { result = std::move(it); }});
+    REQUIRE(server.runUntil([&] { return result.has_value(); }));
+    REQUIRE(std::holds_alternative<ClientError>(*result));
+    CHECK(std::get<ClientError>(*result) == ClientError::CannotConnect);
+    CHECK(server.requests.empty());
+}
--- a/tests/platform/records.cpp
+++ b/tests/platform/records.cpp
@@ -238,7 +238,7 @@
 {
     CHECK(std::get<Routes::RouteTable>(decodeRoutes(routesRecord)).workspaces() == nullptr);
     for (const auto *workspaces :
-         {"[]", "7", R"({"w":7})", R"({"w":{"api-keys":"k"}})", R"({"w":{"api-keys":[7]}})", R"({"w":{"rate-per-s":-1}})"}) {
+         {"null", "[]", "7", R"({"w":7})", R"({"w":{"api-keys":"k"}})", R"({"w":{"api-keys":[7]}})", R"({"w":{"rate-per-s":-1}})"}) {
         CAPTURE(workspaces);
         CHECK(std::holds_alternative<RecordError>(decodeRoutes(workspacesRecord(workspaces))));
     }
