Allowances are granted 1 s after a start and 0.7 s after a home has moved

Homes now grant 1 s after their start, and own shares are used at once, divided among 32 daemons at least until the others are known. A new home waits 0.7 s in place of 1.5 s.

--- a/src/core/limits/allowancegrantor.cpp
+++ b/src/core/limits/allowancegrantor.cpp
@@ -9,8 +9,9 @@
 {
 
 // Time before the first grant of a new home: until the previous one knows that it no longer is the home and its leases have expired. A
-// change of a member is known in a fleet of 104 daemons within about 1 s.
-constexpr Millis takeOverTime = 1500_ms;
+// change of a member is known in a fleet of 104 daemons within about 1 s; in the time that is missing two homes may grant, which the
+// overshoot has room for.
+constexpr Millis takeOverTime = 700_ms;
 // Time for which the daemons must have been reachable before their shares are granted again: until they know of the home, they use their
 // own shares.
 constexpr Millis regainTime = 1500_ms;
--- a/src/entry/allowancelink.cpp
+++ b/src/entry/allowancelink.cpp
@@ -16,8 +16,9 @@
 
 using Membership::MemberState;
 
-// Part of the catch-up time after which this daemon grants tokens; by then it knows the other daemons, so that no two are the home.
-constexpr double firstGrantsPart = 0.75;
+// Time after the start within which this daemon usually knows the other daemons, so that no two are the home. Waiting for the whole
+// catch-up time refused nearly all calls for 4.5 s after all daemons had restarted.
+constexpr Millis firstGrantsAfter = 1_s;
 // A daemon that can reach any other receives the acknowledgement of a probe at least every 500 ms.
 constexpr Millis isolatedAfter = 2_s;
 // An incarnation that rises by less is a refutation; see MembershipOptions.
@@ -33,7 +34,7 @@
     , m_members(members)
     , m_onAnswer(std::move(onAnswer))
     , m_port(loop, [this](std::string_view bytes, const Address &from) { handleDatagram(bytes, from); })
-    , m_grantor(Process::steadyNow() + settings.bounds.catchUp * firstGrantsPart)
+    , m_grantor(Process::steadyNow() + firstGrantsAfter)
     , m_datagramAt(Process::steadyNow())
 {
 }
--- a/src/entry/callallowances.cpp
+++ b/src/entry/callallowances.cpp
@@ -17,6 +17,9 @@
 using Process::steadyNow;
 
 constexpr std::size_t dumpedWorkspaces = 20;
+// Daemons that are assumed to share the allowances until this one has run long enough to know them: more than it knows in its first
+// moments, so that the shares of a fleet that starts as a whole stay small.
+constexpr std::size_t assumedDaemons = 32;
 
 }
 
@@ -30,7 +33,7 @@
 
 void CallAllowances::setView(const NodeView &view)
 {
-    m_client.setKnownDaemons(view.membersKnown ? view.allowanceDaemons : 0);
+    m_client.setKnownDaemons(view.membersKnown ? view.allowanceDaemons : std::max(view.allowanceDaemons, assumedDaemons));
     const auto workspaces = view.routes ? view.routes->workspaces() : nullptr;
     if (workspaces == m_workspaces) {
         return;
