--- a/tests/placement/coldupstreams.cpp
+++ b/tests/placement/coldupstreams.cpp
@@ -129,7 +129,6 @@
 private:
     static constexpr Millis serviceTime{60};
     static constexpr int slots = 3;
-    static constexpr int maxQueued = 2;
 
     struct RunningAttempt
     {
