--- a/tests/placement/workspaceorder.cpp
+++ b/tests/placement/workspaceorder.cpp
@@ -169,9 +169,10 @@
     }
     CHECK(counts.at(1).share() >= 0.7);
     CHECK(counts.at(1).share() > 1.5 * counts.at(2).share());
-    for (const auto &[id, it] : counts) {
+    for (const auto &entry : counts) {
+        const auto id = entry.first;
         CAPTURE(id);
-        CHECK(it.share() >= 0.25 * all.share());
+        CHECK(entry.second.share() >= 0.25 * all.share());
     }
 }
 
--- a/tests/platform/settings.cpp
+++ b/tests/platform/settings.cpp
@@ -57,7 +57,7 @@
 
 TEST_CASE("Bounds for credentials, allowances, cold upstreams and evacuations are read if they are there")
 {
-    const auto &defaults = std::get<Entry::NodeSettings>(parseSettings(settings)).bounds;
+    const auto defaults = std::get<Entry::NodeSettings>(parseSettings(settings)).bounds;
     CHECK_FALSE(defaults.failClosed);
     const auto decoded = parseSettings(settings
                                        + "terms.bounds.fail-closed=true\nterms.bounds.revoke=4000ms\nterms.bounds.quota-window=6s\n"
