check-routes knows the table of workspaces again

The decoder asked only whether the field is there and no longer marked it as used, so that check-routes reported an unknown field on each proper configuration with workspaces (5 cases of tests/cli/routescheck.cpp failed in ctest). tests/cli and tests/platform pass: 56 of 56.

--- a/src/platform/routesrecord.cpp
+++ b/src/platform/routesrecord.cpp
@@ -191,7 +191,7 @@
         }
     }
     // A null table is an error: taken for a missing one, it would let every caller in.
-    const bool hasWorkspaces = json.contains("tenants");
+    const bool hasWorkspaces = fields.has("tenants") || json.contains("tenants");
     const bool hasLimits = fields.has("limits");
     if (problems.addAll(fields, Routes::ConfigEntry::Whole, {}, true)) {
         return {};
