Review: daemons that restart without the seeds each grant a whole allowance

Cause: a daemon that starts knows no other address than the seeds, and the others no longer ping one that left after SIGTERM. Without the seeds it stays alone, and a daemon that knows no other is the home of every workspace.

Done: case 7, a script with six daemons. The machines of the three seeds are lost for good, and the other three are restarted in turn. Nothing is fixed.

From 8 s after the last restart on about 900 requests of the tenant run in 5 s, where 416 are allowed. With the seeds alive and the same restarts the case passes with about 310.

--- /dev/null
+++ b/review/7/run.sh
@@ -0,0 +1,16 @@
+#!/usr/bin/env bash
+# Plays the case; see claim.txt. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")/../.." || exit 2
+standin=target/review-2/islands
+program=target/laburnummast-entry
+if [ ! -x "$standin" ] || [ ! -x "$program" ]; then
+  echo "build first: the build of deploy/system.toml, then review/build-2.sh" >&2
+  exit 2
+fi
+timeout -k 2 115 "$standin" "$program" review/7/record.txt > /dev/null
+status=$?
+tail -n 4 review/7/record.txt
+case "$status" in
+  0 | 1) exit "$status" ;;
+  *) exit 2 ;;
+esac
