--- a/review/standin-2/accepts.cpp
+++ b/review/standin-2/accepts.cpp
@@ -120,18 +120,21 @@
     }
     record.line("in calm: %d served, %d refused, %d failed, %d without an answer", calm.served, calm.refused, calm.failed, calm.none);
     record.line("crowd: %d served, %d refused, %d other", served.load(), refused.load(), others.load());
-    record.line("beside the crowd: %d served, %d refused, %d failed, %d without an answer", count.served, count.refused, count.failed, count.none);
-    record.line("unanswered at the route's timeout: %d; half a second later: %d; checks of readiness with 200: %d, others: %d; the process %s",
-                count.unansweredAtTimeout,
-                count.unansweredLater,
-                ready,
-                notReady,
-                alive ? "runs" : "has ended");
+    record.line(
+        "beside the crowd: %d served, %d refused, %d failed, %d without an answer", count.served, count.refused, count.failed, count.none);
+    record.line(
+        "unanswered at the route's timeout: %d; half a second later: %d; checks of readiness with 200: %d, others: %d; the process %s",
+        count.unansweredAtTimeout,
+        count.unansweredLater,
+        ready,
+        notReady,
+        alive ? "runs" : "has ended");
     if (calm.served < 10) {
         return 2;
     }
-    const bool broken = !alive || (count.unansweredLater >= 8 && 2 * count.unansweredLater > count.unansweredAtTimeout
-                                   && 4 * count.unansweredLater > static_cast<int>(calls.size()));
+    const bool broken = !alive
+        || (count.unansweredLater >= 8 && 2 * count.unansweredLater > count.unansweredAtTimeout
+            && 4 * count.unansweredLater > static_cast<int>(calls.size()));
     record.line(broken ? "CONFIG is broken: requests have no answer half a second after their route's timeout" : "CONFIG holds");
     return broken ? 1 : 0;
 }
--- a/review/standin-2/heads.cpp
+++ b/review/standin-2/heads.cpp
@@ -21,8 +21,8 @@
     while (lines.size() < 7900) {
         lines += "b:\r\n";
     }
-    return "GET /none/x HTTP/1.1\r\nHost: h.example\r\nLaburnummast-Request-Id: crowd\r\n" + std::string(namesHeaders ? "Connection" : "X-Filler--")
-        + ": " + list + "a\r\n" + lines + "\r\n";
+    return "GET /none/x HTTP/1.1\r\nHost: h.example\r\nLaburnummast-Request-Id: crowd\r\n"
+        + std::string(namesHeaders ? "Connection" : "X-Filler--") + ": " + list + "a\r\n" + lines + "\r\n";
 }
 
 }
@@ -142,8 +142,9 @@
     if (calm.served < 10) {
         return 2;
     }
-    const bool broken = !alive || (count.unansweredLater >= 8 && 2 * count.unansweredLater > count.unansweredAtTimeout
-                                   && 4 * count.unansweredLater > static_cast<int>(calls.size()));
+    const bool broken = !alive
+        || (count.unansweredLater >= 8 && 2 * count.unansweredLater > count.unansweredAtTimeout
+            && 4 * count.unansweredLater > static_cast<int>(calls.size()));
     record.line(broken ? "CONFIG is broken: requests have no answer half a second after their route's timeout" : "CONFIG holds");
     return broken ? 1 : 0;
 }
--- a/review/standin-2/islands.cpp
+++ b/review/standin-2/islands.cpp
@@ -57,7 +57,8 @@
         if (!workers.back()->start("127.0.0.1")) {
             return 2;
         }
-        store.put("keyed.servers", workers.back()->id(), workers.back()->record("mu-east-" + std::string(1, static_cast<char>('a' + i % 3))));
+        store.put(
+            "keyed.servers", workers.back()->id(), workers.back()->record("mu-east-" + std::string(1, static_cast<char>('a' + i % 3))));
     }
     const auto tenants = ",\"tenants\":{\"studio\":{\"api-keys\":[\"studio-key-1\"],\"priority\":0,\"rate-per-s\":60,\"burst\":60}}";
     store.put("keyed.op", "config", manifest(1, route("r", "/r/", "safe", "s", 1000), serviceEntry("s"), tenants));
--- a/review/standin-2/partheads.cpp
+++ b/review/standin-2/partheads.cpp
@@ -43,10 +43,11 @@
     }
     store.put("keyed.op", "config", manifest(1, route("r", "/r/", "safe", "s", 1000), serviceEntry("s")));
     const int port = freePorts({"127.0.0.1"}, portsPerDaemon);
-    Daemon daemon(argv[1],
-                  folder.path(),
-                  store,
-                  {.firstPort = port, .seeds = "127.0.0.1:" + std::to_string(port + 3), .memoryMb = memoryMb, .descriptors = descriptorLimit});
+    Daemon daemon(
+        argv[1],
+        folder.path(),
+        store,
+        {.firstPort = port, .seeds = "127.0.0.1:" + std::to_string(port + 3), .memoryMb = memoryMb, .descriptors = descriptorLimit});
     daemon.start();
     if (!daemon.waitUntilReady()) {
         record.line("the daemon did not get ready");
@@ -109,8 +110,16 @@
     callers.stop();
     const TimeoutCount calm(callers.sentBetween(0, crowdFrom), 1000);
     const TimeoutCount count(callers.sentBetween(crowdFrom, nowMs()), 1000);
-    record.line("ordinary callers before: %d served, %d refused, %d failed, %d without an answer", calm.served, calm.refused, calm.failed, calm.none);
-    record.line("ordinary callers after: %d served, %d refused, %d failed, %d without an answer", count.served, count.refused, count.failed, count.none);
+    record.line("ordinary callers before: %d served, %d refused, %d failed, %d without an answer",
+                calm.served,
+                calm.refused,
+                calm.failed,
+                calm.none);
+    record.line("ordinary callers after: %d served, %d refused, %d failed, %d without an answer",
+                count.served,
+                count.refused,
+                count.failed,
+                count.none);
     if (ended) {
         record.line("the process has ended by itself: %s", daemon.howEnded().c_str());
     }
--- a/review/standin-2/stage.h
+++ b/review/standin-2/stage.h
@@ -6,8 +6,8 @@
 #include <algorithm>
 #include <arpa/inet.h>
 #include <atomic>
-#include <chrono>
 #include <cerrno>
+#include <chrono>
 #include <condition_variable>
 #include <cstdarg>
 #include <cstdint>
@@ -483,7 +483,8 @@
             if (target.find("/laburnummast/log-newest") == 0) {
                 response = newest(topic);
             } else if (target.find("/laburnummast/log-read") == 0) {
-                response = read(topic, std::strtoull(queryOf(target, "from").c_str(), nullptr, 10), std::atoi(queryOf(target, "wait-ms").c_str()));
+                response = read(
+                    topic, std::strtoull(queryOf(target, "from").c_str(), nullptr, 10), std::atoi(queryOf(target, "wait-ms").c_str()));
             } else {
                 response = reply(404, "", "");
             }
@@ -569,8 +570,8 @@
 
     std::string record(const std::string &zone, const std::string &state = "ready") const
     {
-        return "{\"service\":\"" + m_service + "\",\"address\":\"" + m_server.ip() + ":" + std::to_string(m_server.port()) + "\",\"zone\":\"" + zone
-            + "\",\"version\":\"v1\",\"slots\":" + std::to_string(m_slots) + ",\"state\":\"" + state
+        return "{\"service\":\"" + m_service + "\",\"address\":\"" + m_server.ip() + ":" + std::to_string(m_server.port())
+            + "\",\"zone\":\"" + zone + "\",\"version\":\"v1\",\"slots\":" + std::to_string(m_slots) + ",\"state\":\"" + state
             + "\",\"cold-remaining\":\"0ms\",\"sequence-number\":1,\"born\":1700000000000}";
     }
 
@@ -624,10 +625,9 @@
                 goesOn = onRequest(fd, request);
             } else {
                 sleepMs(workMs);
-                goesOn = sendAll(fd,
-                                 reply(200,
-                                       echo + "Laburnummast-Response-Signature: s." + id + "\r\n" + loadHeader(),
-                                       std::string(answerBytes, 'a')));
+                goesOn = sendAll(
+                    fd,
+                    reply(200, echo + "Laburnummast-Response-Signature: s." + id + "\r\n" + loadHeader(), std::string(answerBytes, 'a')));
             }
             --m_running;
             if (!goesOn) {
@@ -709,7 +709,8 @@
             const int fd = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             ::dup2(fd, 1);
             ::dup2(fd, 2);
-            const rlimit limit{.rlim_cur = static_cast<rlim_t>(m_options.descriptors), .rlim_max = static_cast<rlim_t>(m_options.descriptors)};
+            const rlimit limit{.rlim_cur = static_cast<rlim_t>(m_options.descriptors),
+                               .rlim_max = static_cast<rlim_t>(m_options.descriptors)};
             ::setrlimit(RLIMIT_NOFILE, &limit);
             ::setenv("LABURNUMMAST_NODE_FILE", settingsPath().c_str(), 1);
             ::execl(m_program.c_str(), m_program.c_str(), nullptr);
@@ -751,7 +752,8 @@
 
     std::string howEnded() const
     {
-        return WIFSIGNALED(m_status) ? "signal " + std::to_string(WTERMSIG(m_status)) : "exit code " + std::to_string(WEXITSTATUS(m_status));
+        return WIFSIGNALED(m_status) ? "signal " + std::to_string(WTERMSIG(m_status))
+                                     : "exit code " + std::to_string(WEXITSTATUS(m_status));
     }
 
     pid_t pid() const
@@ -926,7 +928,8 @@
             OrdinaryCall it;
             it.sentAt = nowMs();
             it.id = "caller-" + std::to_string(caller) + "-" + std::to_string(n);
-            it.answer = call(m_ip, m_port, callHead("GET", m_options.target, "h.example", it.id, m_options.deadlineMs), m_options.deadlineMs);
+            it.answer
+                = call(m_ip, m_port, callHead("GET", m_options.target, "h.example", it.id, m_options.deadlineMs), m_options.deadlineMs);
             {
                 const std::lock_guard lock(m_mutex);
                 m_calls.push_back(it);
@@ -1019,10 +1022,9 @@
                          int timeoutMs,
                          int targetLatencyMs = 500)
 {
-    return "\"" + name + "\":{\"host\":\"h.example\",\"path-prefix\":\"" + prefix + "\",\"kind\":\"" + kind
-        + "\",\"timeout\":\"" + std::to_string(timeoutMs) + "ms\",\"target-latency\":\"" + std::to_string(targetLatencyMs)
-        + "ms\",\"priority\":0,\"service\":\"" + service
-        + "\",\"max-attempts\":2,\"public\":false}";
+    return "\"" + name + "\":{\"host\":\"h.example\",\"path-prefix\":\"" + prefix + "\",\"kind\":\"" + kind + "\",\"timeout\":\""
+        + std::to_string(timeoutMs) + "ms\",\"target-latency\":\"" + std::to_string(targetLatencyMs) + "ms\",\"priority\":0,\"service\":\""
+        + service + "\",\"max-attempts\":2,\"public\":false}";
 }
 
 inline std::string manifest(int version, const std::string &routes, const std::string &services, const std::string &further = {})
