Review: the scripts pass TROUBLE on themselves

run.sh of the cases 6 to 10 reads TROUBLE and hands it to the stand-in, which read it from the environment before.

--- a/review/standin-2/accepts.cpp
+++ b/review/standin-2/accepts.cpp
@@ -21,7 +21,7 @@
     if (argc < 3) {
         return 2;
     }
-    const int crowdSize = argc > 3 ? std::atoi(argv[3]) : 1000;
+    const int crowdSize = argc > 4 ? std::atoi(argv[4]) : 1000;
     Record record(argv[2]);
     TemporaryFolder folder;
     Store store;
@@ -55,7 +55,7 @@
     std::atomic<bool> stop{false};
     std::atomic<int> served{0}, refused{0}, others{0};
     std::vector<std::thread> crowd;
-    for (int i = 0; i < (trouble() ? crowdSize : 0); ++i) {
+    for (int i = 0; i < (trouble(argc, argv) ? crowdSize : 0); ++i) {
         crowd.emplace_back([&, i] {
             int fd = -1;
             std::string pending;
--- a/review/standin-2/heads.cpp
+++ b/review/standin-2/heads.cpp
@@ -58,8 +58,7 @@
     record.line("the daemon is ready");
     sleepMs(5000);
 
-    const char *mode = std::getenv("TROUBLE");
-    const bool plain = mode && std::string(mode) == "plain";
+    const bool plain = argc > 3 && std::string(argv[3]) == "plain";
     const auto head = crowdHead(!plain);
     if (head.size() > maxHeaderBytes) {
         return 2;
@@ -73,7 +72,7 @@
     std::atomic<int> crowdSent{0};
     std::atomic<int> crowdAnswers{0};
     std::vector<std::thread> crowd;
-    if (trouble()) {
+    if (trouble(argc, argv)) {
         record.line("%d connections send heads of %zu bytes, each after the answer to the one before%s",
                     crowdSize,
                     head.size(),
--- a/review/standin-2/islands.cpp
+++ b/review/standin-2/islands.cpp
@@ -120,7 +120,7 @@
     const double calmFrom = nowMs();
     sleepMs(10000);
     const double calmTo = nowMs();
-    if (trouble()) {
+    if (trouble(argc, argv)) {
         for (int i = 0; i < seedCount; ++i) {
             daemons[static_cast<std::size_t>(i)]->kill();
         }
--- a/review/standin-2/partheads.cpp
+++ b/review/standin-2/partheads.cpp
@@ -18,7 +18,7 @@
     if (argc < 3) {
         return 2;
     }
-    const int crowdSize = argc > 3 ? std::atoi(argv[3]) : 2500;
+    const int crowdSize = argc > 4 ? std::atoi(argv[4]) : 2500;
     rlimit limit{};
     ::getrlimit(RLIMIT_NOFILE, &limit);
     if (limit.rlim_max < descriptorLimit) {
@@ -88,7 +88,7 @@
             killed = true;
         }
     };
-    for (int i = 0; trouble() && i < crowdSize && !killed && !ended; ++i) {
+    for (int i = 0; trouble(argc, argv) && i < crowdSize && !killed && !ended; ++i) {
         const int fd = connectTo("127.0.0.1", daemon.port(), 1000);
         if (fd >= 0) {
             ::fcntl(fd, F_SETFL, O_NONBLOCK);
--- a/review/standin-2/stage.h
+++ b/review/standin-2/stage.h
@@ -1071,10 +1071,10 @@
     std::string m_path;
 };
 
-inline bool trouble()
+/// Whether the third argument of a stand-in asks for the disruption; TROUBLE=0 of the scripts is passed on as "0".
+inline bool trouble(int argc, char **argv)
 {
-    const char *value = std::getenv("TROUBLE");
-    return !value || std::string(value) != "0";
+    return argc <= 3 || std::string(argv[3]) != "0";
 }
 
 }
--- a/review/standin-2/survivor.cpp
+++ b/review/standin-2/survivor.cpp
@@ -18,7 +18,7 @@
         return 2;
     }
     Record record(argv[2]);
-    const std::string survivorName = argc > 3 ? argv[3] : "front-palermo-a-3";
+    const std::string survivorName = argc > 4 ? argv[4] : "front-palermo-a-3";
     TemporaryFolder folder;
     Store store;
     if (!store.start("127.0.0.1")) {
@@ -88,7 +88,7 @@
         }
     };
     callFor(4000);
-    if (trouble()) {
+    if (trouble(argc, argv)) {
         int lost = 0;
         for (auto &it : daemons) {
             if (it.get() != survivor) {
