Review: ordinary callers of the cases 6 and 10 send requests that may not be repeated

A caller abandons an attempt of a repeatable request that is not read in time, so such requests could be excused.

--- a/review/standin-2/stage.h
+++ b/review/standin-2/stage.h
@@ -828,7 +828,10 @@
 {
     ReadResult result = ReadResult::TimedOut;
     int status = 0;
+    /// Time from the end of the request to its answer, or until the caller gave up.
     double ms = 0;
+    /// The connection was there within a second and took the whole request.
+    bool sent = false;
     Message message;
 };
 
@@ -849,12 +852,14 @@
 inline Answer call(const std::string &ip, int port, const std::string &bytes, double timeoutMs)
 {
     Answer answer;
-    const double from = nowMs();
+    double from = nowMs();
     const int fd = connectTo(ip, port, std::min(timeoutMs, 1000.0));
     if (fd >= 0) {
         std::string pending;
-        if (sendAll(fd, bytes)) {
-            answer.result = readMessage(fd, pending, answer.message, timeoutMs - (nowMs() - from));
+        answer.sent = sendAll(fd, bytes);
+        if (answer.sent) {
+            from = nowMs();
+            answer.result = readMessage(fd, pending, answer.message, timeoutMs);
             answer.status = answer.result == ReadResult::Complete ? answer.message.status() : 0;
         }
         ::close(fd);
@@ -871,7 +876,9 @@
     Answer answer;
 };
 
-/// Callers that each send a request on a new connection at a fixed interval and wait for its answer.
+/// Callers that each send a request on a new connection at a fixed interval and wait for its answer until their deadline.
+///
+/// The requests are of a kind that may not be repeated; of one that may be, a caller abandons an attempt that is not read in time.
 class OrdinaryCallers
 {
 public:
@@ -923,13 +930,14 @@
 private:
     void run(int caller)
     {
+        const std::string body = "tap";
         sleepMs(m_options.intervalMs * caller / m_options.callers);
         for (int n = 0; !m_stopped; ++n) {
             OrdinaryCall it;
             it.sentAt = nowMs();
             it.id = "caller-" + std::to_string(caller) + "-" + std::to_string(n);
-            it.answer
-                = call(m_ip, m_port, callHead("GET", m_options.target, "h.example", it.id, m_options.deadlineMs), m_options.deadlineMs);
+            const auto head = callHead("POST", m_options.target, "h.example", it.id, m_options.deadlineMs, {}, body.size());
+            it.answer = call(m_ip, m_port, head + body, m_options.deadlineMs);
             {
                 const std::lock_guard lock(m_mutex);
                 m_calls.push_back(it);
@@ -947,9 +955,11 @@
     std::vector<std::thread> m_threads;
 };
 
-/// How ordinary requests were answered, by the route's timeout and half a second later.
+/// How ordinary requests were answered, by the route's timeout and half a second later. Requests that could not be sent don't count.
 struct TimeoutCount
 {
+    int notSent = 0;
+    int sent = 0;
     int served = 0;
     int refused = 0;
     int failed = 0;
@@ -961,11 +971,23 @@
     {
         for (const auto &it : calls) {
             const int status = it.answer.status;
+            if (!it.answer.sent) {
+                ++notSent;
+                continue;
+            }
+            ++sent;
             ++(status == 200 ? served : status == 503 || status == 429 ? refused : status != 0 ? failed : none);
             unansweredAtTimeout += status == 0 || it.answer.ms > timeoutMs ? 1 : 0;
             unansweredLater += status == 0 || it.answer.ms > timeoutMs + 500 ? 1 : 0;
         }
     }
+
+    /// More than half of the requests that are unanswered at the timeout have no answer half a second later; eight or more of them, and
+    /// over a quarter of all.
+    bool breaksTimeout() const
+    {
+        return unansweredLater >= 8 && 2 * unansweredLater > unansweredAtTimeout && 4 * unansweredLater > sent;
+    }
 };
 
 /// The platform's check of readiness, once a second.
